--- /dev/null
+++ b/include/arbutusdale/state/limits.hpp
@@ -0,0 +1,43 @@
+// Bounds of the replicated state and of its streams.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+
+namespace arbutusdale::state {
+
+/// Format of the records written by this version; another format stops the stream.
+constexpr std::uint32_t k_record_format = 1;
+
+constexpr std::uint32_t k_default_shards = 4;
+constexpr std::uint32_t k_max_shards = 16;
+
+/// Plans kept for the record; the oldest decided ones are dropped first.
+constexpr std::size_t k_max_plans_kept = 1'000;
+/// Ended jobs that stay in the declaration; older ones leave it.
+constexpr std::size_t k_max_ended_jobs_kept = 2'000;
+/// Writers whose newest record id is kept. With 260 daemons and 5,000 restarts a day, a writer is
+/// forgotten no sooner than about 3.5 hours after its last record.
+constexpr std::size_t k_max_writers_kept = 1'024;
+/// Ids kept of records that are not numbered by their writer.
+constexpr std::size_t k_max_plain_ids_kept = 1'024;
+constexpr std::size_t k_max_ended_incarnations_kept = 256;
+constexpr std::size_t k_max_quarantines_kept = 1'024;
+/// Moves between shards of a failure domain; further ones are ignored.
+constexpr std::size_t k_max_moves_kept = 10'000;
+constexpr std::size_t k_max_failed_workers_kept = 16;
+/// Notes of given-up tasks kept per job.
+constexpr std::size_t k_max_failed_notes_kept = 100;
+
+constexpr std::size_t k_max_record_bytes = 256 * 1'024;
+constexpr std::size_t k_max_batch_bytes = 256 * 1'024;
+constexpr std::size_t k_max_queued_records = 10'000;
+constexpr std::size_t k_max_queued_bytes = 8 * 1'024 * 1'024;
+constexpr std::uint32_t k_read_limit_entries = 128;
+
+constexpr std::size_t k_snapshot_chunk_bytes = 64 * 1'024;
+constexpr std::uint32_t k_max_snapshot_chunks = 1'024;
+/// Snapshots under assembly at once; the one that started first is dropped.
+constexpr std::size_t k_max_partial_snapshots = 8;
+
+}  // namespace arbutusdale::state
