--- a/include/arbutusdale/state/limits.hpp
+++ b/include/arbutusdale/state/limits.hpp
@@ -16,6 +16,8 @@
 constexpr std::size_t k_max_plans_kept = 1'000;
 /// Ended jobs that stay in the declaration; older ones leave it.
 constexpr std::size_t k_max_ended_jobs_kept = 2'000;
+/// VMs under drain; the planner refuses more.
+constexpr std::size_t k_max_drains = 2'000;
 /// Writers whose newest record id is kept. With 260 daemons and 5,000 restarts a day, a writer is
 /// forgotten no sooner than about 3.5 hours after its last record.
 constexpr std::size_t k_max_writers_kept = 1'024;
--- a/include/arbutusdale/state/stream.hpp
+++ b/include/arbutusdale/state/stream.hpp
@@ -36,6 +36,8 @@
   Duration commit_interval = std::chrono::seconds{1};
   Duration answer_timeout = std::chrono::seconds{2};  // then the append is resolved by reading
   std::uint32_t snapshot_every_records = 2'000;
+  Duration snapshot_rank_delay = std::chrono::seconds{2};  // wait per rank before writing one
+  std::uint64_t log_start = 0;  // offset of the first entry that the log ever held
   std::uint64_t seed = 1;
 };
 
@@ -72,6 +74,8 @@
   /// Queues a record for the next commit; `urgent` commits at once. Sets id, format and wall time.
   /// An append whose answer is lost is resolved by reading back the record id, and is repeated
   /// only after the record is proved absent. Fails with `overloaded` when the queue is full.
+  /// `done` gets the offset of the first copy that this stream read. After a snapshot was loaded
+  /// that may be a repeat without effect, so a claimant takes its term from DomainState.
   virtual void propose(proto::state::Record record, bool urgent, Applied done) = 0;
 
   /// Reads at once, without waiting for the poll interval.
--- /dev/null
+++ b/src/arbutusdale/state/append_queue.hpp
@@ -0,0 +1,93 @@
+// Records of one daemon on their way into a stream: queue, group commit and the append in flight.
+#pragma once
+
+#include "arbutusdale/core/clock.hpp"
+#include "arbutusdale/core/random.hpp"
+#include "arbutusdale/state.pb.h"
+#include "arbutusdale/state/stream.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace arbutusdale::state {
+
+/// An append that the stream has to send.
+struct Outgoing {
+  std::uint64_t attempt = 0;  // passed back with the answer; answers to earlier attempts are void
+  std::string payload;
+};
+
+/// One append is in flight at a time, and it is settled only by reading its records back. So the
+/// log holds the records of a writer in the order of their sequence, on which RecordIds relies.
+///
+/// The log may still apply an append whose answer was lost after a read has shown it absent; no
+/// bound on that delay is assumed. A repeat carries the same record ids, so whichever copy comes
+/// second has no effect, at any later time.
+class AppendQueue {
+ public:
+  explicit AppendQueue(const StreamOptions& options);
+
+  /// Numbers the record and queues it.
+  Result<void> push(proto::state::Record record, bool urgent, Stream::Applied done, TimePoint now);
+  void push_snapshot(const std::vector<proto::state::SnapshotChunk>& chunks, std::uint64_t wall_ms);
+  /// Drops the chunks that are not sent yet.
+  void drop_snapshot() { m_chunks.clear(); }
+  [[nodiscard]] bool is_writing_snapshot() const;
+
+  /// The append that is due, if any; at most one is in flight. Without `records`, only chunks.
+  std::optional<Outgoing> next(bool records, TimePoint now);
+
+  /// The log answered. `read` is the number of the latest read that was started.
+  void answered(std::uint64_t attempt, const Result<std::uint64_t>& offset, std::uint64_t read,
+                TimePoint now);
+  /// Treats an append without an answer as lost once the answer timeout has passed.
+  void check_timeout(std::uint64_t read, TimePoint now);
+  /// A record of this writer was applied.
+  void seen(const std::string& id, std::uint64_t offset);
+  /// Read number `read` reached the end of the log, so that everything below `end` is applied.
+  void reached_end(std::uint64_t read, std::uint64_t end, TimePoint now);
+
+  void fail_all(const std::string& reason);
+  /// Callbacks whose outcome is known.
+  std::vector<std::pair<Stream::Applied, Result<std::uint64_t>>> take_outcomes();
+
+ private:
+  struct Pending {
+    proto::state::Record record;
+    std::size_t bytes = 0;
+    bool urgent = false;
+    bool sent = false;  // at least once; a copy may still appear in the log
+    Stream::Applied done;
+  };
+
+  struct InFlight {
+    std::deque<Pending> records;  // not read back yet
+    bool is_chunk = false;
+    TimePoint sent_at;
+    std::optional<std::uint64_t> offset;         // as answered by the log
+    std::optional<std::uint64_t> settled_after;  // reads with a higher number settle the append
+  };
+
+  Outgoing send(std::deque<Pending>& from, bool is_chunk, TimePoint now);
+  void back_to_queue(TimePoint retry_at);
+
+  StreamOptions m_options;
+  Random m_random;
+  std::deque<Pending> m_queue;  // in the order of their sequence
+  std::deque<Pending> m_chunks;
+  std::size_t m_queued_bytes = 0;  // sum over m_queue
+  std::uint64_t m_sequence = 0;
+  std::optional<InFlight> m_in_flight;
+  std::uint64_t m_attempt = 0;
+  std::uint32_t m_refusals = 0;  // appends in a row that the log did not take
+  TimePoint m_commit_at;         // when the queue may be sent, unless it holds urgent records
+  TimePoint m_retry_at;          // nothing is sent before
+  bool m_chunk_was_last = false;
+  std::vector<std::pair<Stream::Applied, Result<std::uint64_t>>> m_outcomes;
+};
+
+}  // namespace arbutusdale::state
--- a/src/arbutusdale/state/assignment.cpp
+++ b/src/arbutusdale/state/assignment.cpp
@@ -116,8 +116,6 @@
 std::vector<DomainSlice> deal_to_domains(const proto::state::Declaration& declaration,
                                          const proto::state::JobDecl& job) {
   const DomainDecls& domains = layout_of(declaration, job);
-  const bool weighted =
-      std::any_of(domains.begin(), domains.end(), [](const auto& d) { return d.weight() > 0; });
   std::vector<const proto::state::DomainDecl*> receiving;
   std::vector<std::uint64_t> weights;
   for (const auto& domain : domains) {
@@ -125,7 +123,10 @@
       continue;
     }
     receiving.push_back(&domain);
-    weights.push_back(weighted ? domain.weight() : 1);
+    weights.push_back(domain.weight());
+  }
+  if (std::all_of(weights.begin(), weights.end(), [](std::uint64_t w) { return w == 0; })) {
+    std::fill(weights.begin(), weights.end(), 1);
   }
   const auto start = weighted_index(weights, stable_hash(job.name(), k_domain_seed));
   const auto parts = deal(job.tasks(), weights, start);
