Add the batch module: first shard runner with placement, ready queue and records

The runner acquires the workers of its shard with the term as token, starts tasks on sampled workers, reconciles with the agents' reports, records ended attempts in batches and acknowledges them only after the record was applied. Not covered by tests yet.

--- /dev/null
+++ b/include/arbutusdale/batch/job_table.hpp
@@ -0,0 +1,68 @@
+// Jobs of a shard and the state of their tasks: never started, waiting for another attempt, live.
+// Filled from the declaration and the recorded progress.
+#pragma once
+
+#include "arbutusdale/batch/runner_model.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace arbutusdale::batch {
+
+/// A task taken for its next attempt.
+struct TakenTask {
+  std::uint32_t task = 0;
+  WaitingTask state;
+};
+
+class JobTable {
+ public:
+  JobTable(const state::GlobalState& global, const state::DomainState& domain, std::string name,
+           std::uint32_t shard)
+      : m_global(global), m_domain(domain), m_domain_name(std::move(name)), m_shard(shard) {}
+
+  [[nodiscard]] Job& job(JobId id) { return *m_jobs.at(id); }
+  [[nodiscard]] const Job& job(JobId id) const { return *m_jobs.at(id); }
+  [[nodiscard]] std::size_t size() const { return m_jobs.size(); }
+  [[nodiscard]] std::optional<JobId> find(const std::string& name) const;
+
+  /// Id of the job; a job that no declaration names yet is added as undeclared.
+  JobId intern(const std::string& name);
+
+  /// Adds the job or takes over its changed declaration and assignment. Returns its id, or nothing
+  /// when this shard has nothing to do for it.
+  std::optional<JobId> declare(const proto::state::JobDecl& decl);
+
+  /// Takes the next task, those that resume first. `avoid` names a worker the task has failed on.
+  std::optional<TakenTask> take(Job& job);
+  /// Gives back a task that was not started.
+  static void put_back(Job& job, std::uint32_t task, WaitingTask state);
+
+  /// Removes the task from the ones that may start, because an attempt of it is known.
+  static void forget_startable(Job& job, std::uint32_t task);
+  /// Drops all tasks that wait; used when the job is cancelled.
+  static void clear_startable(Job& job);
+
+  /// Recorded state of a task, with the next attempt number to use.
+  [[nodiscard]] WaitingTask recorded(const std::string& job, std::uint32_t task) const;
+  /// True when the end of this attempt, or of the whole task, is recorded.
+  [[nodiscard]] bool is_recorded(const std::string& job, std::uint32_t task,
+                                 std::uint32_t attempt) const;
+  [[nodiscard]] bool is_finished(const std::string& job, std::uint32_t task) const;
+
+ private:
+  void assign(Job& job, const state::TaskSet& assigned);
+
+  const state::GlobalState& m_global;
+  const state::DomainState& m_domain;
+  std::string m_domain_name;
+  std::uint32_t m_shard;
+  std::vector<std::unique_ptr<Job>> m_jobs;
+  std::unordered_map<std::string, JobId> m_ids;
+};
+
+}  // namespace arbutusdale::batch
--- /dev/null
+++ b/include/arbutusdale/batch/placement.hpp
@@ -0,0 +1,82 @@
+// Index of a shard's workers by free capacity, and the choice of a worker for a task. The cost of
+// one decision is bounded by the number of buckets and samples, not by the number of workers.
+#pragma once
+
+#include "arbutusdale/batch/shard_runner.hpp"
+#include "arbutusdale/core/random.hpp"
+#include "arbutusdale/core/resources.hpp"
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace arbutusdale::batch {
+
+/// What placement knows of one worker.
+struct PlacementNode {
+  Resources capacity;  // after reservations and headroom
+  Resources free;      // what a further task may take
+  bool open = false;   // takes new tasks
+};
+
+/// Cost of a worker for the task at hand, lower is better; nothing rules the worker out.
+using PlacementCost = std::function<std::optional<double>(std::uint32_t slot)>;
+
+/// Workers in buckets by free processors and memory, apart for VMs with and without accelerators.
+class PlacementIndex {
+ public:
+  PlacementIndex(PlacementPolicy policy, std::uint64_t seed) : m_policy(policy), m_random(seed) {}
+
+  /// Adds or updates a worker. Slots are small indices chosen by the caller.
+  void set(std::uint32_t slot, const PlacementNode& node);
+
+  /// Worker that takes `need`, or nothing when none of the sampled candidates fits.
+  /// `check_capacity` is false only for the fault `ignore_capacity`.
+  std::optional<std::uint32_t> choose(const Resources& need, const PlacementCost& cost,
+                                      bool check_capacity = true);
+
+  [[nodiscard]] const PlacementNode& node(std::uint32_t slot) const { return m_nodes.at(slot); }
+  /// Workers looked at by the last decision; a test holds it against the number of workers.
+  [[nodiscard]] std::uint32_t last_candidates() const { return m_last_candidates; }
+
+ private:
+  static constexpr std::uint32_t k_levels = 20;  // of processors and of memory
+  static constexpr std::uint32_t k_buckets = 2 * k_levels * k_levels;
+  static constexpr std::uint32_t k_no_bucket = k_buckets;
+
+  struct Place {
+    std::uint32_t bucket = k_no_bucket;
+    std::uint32_t index = 0;
+  };
+  struct Best {
+    std::optional<std::uint32_t> slot;
+    double cost = 0;
+  };
+
+  static std::uint32_t level(std::uint64_t amount, std::uint64_t unit);
+  static std::uint32_t bucket_of(const PlacementNode& node);
+  void remove(std::uint32_t slot);
+  void insert(std::uint32_t slot);
+  void sample_kind(bool accelerated, const Resources& need, const PlacementCost& cost,
+                   bool check_capacity, Best& best);
+  void sample_bucket(const std::vector<std::uint32_t>& bucket, const Resources& need,
+                     const PlacementCost& cost, bool check_capacity, Best& best);
+  std::optional<std::uint32_t> first_fit(const Resources& need, const PlacementCost& cost,
+                                         bool check_capacity);
+
+  PlacementPolicy m_policy;
+  Random m_random;
+  std::vector<PlacementNode> m_nodes;  // by slot
+  std::vector<Place> m_places;         // by slot; says where the slot is in m_buckets
+  std::array<std::vector<std::uint32_t>, k_buckets> m_buckets;
+  std::uint32_t m_last_candidates = 0;
+};
+
+/// True when a task without accelerators leaves enough processors and memory beside the free
+/// accelerators for tasks that need them.
+bool leaves_room_for_accelerators(const Resources& need, const PlacementNode& node);
+
+}  // namespace arbutusdale::batch
--- /dev/null
+++ b/include/arbutusdale/batch/runner.hpp
@@ -0,0 +1,175 @@
+// The shard runner: one class, whose rules are spread over runner_*.cpp by subject.
+#pragma once
+
+#include "arbutusdale/batch/job_table.hpp"
+#include "arbutusdale/batch/placement.hpp"
+#include "arbutusdale/batch/ready_queue.hpp"
+#include "arbutusdale/batch/runner_model.hpp"
+#include "arbutusdale/batch/shard_runner.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace arbutusdale::batch {
+
+class Runner final : public ShardRunner {
+ public:
+  Runner(ShardOptions options, const state::GlobalState& global, const state::DomainState& domain,
+         state::Stream& stream, platform::WorkerAgents& agents);
+
+  void set_workers(const std::vector<WorkerInfo>& workers, bool trusted, TimePoint now) override;
+  void state_changed(TimePoint now) override;
+  void tick(TimePoint now) override;
+  void stop() override { m_stopped = true; }
+  [[nodiscard]] const ShardStats& stats() const override { return m_stats; }
+  [[nodiscard]] bool is_drained(const std::string& worker) const override;
+  [[nodiscard]] std::string waiting_reason(const std::string& job) const override;
+
+ private:
+  using AgentResult = Result<proto::platform::AgentReply>;
+
+  // Safety rules; each is the only place that decides its question.
+  [[nodiscard]] bool unknown_tasks_may_start() const;
+  [[nodiscard]] bool every_worker_answered_or_gone() const;
+  [[nodiscard]] bool job_may_start(const Job& job) const;
+  [[nodiscard]] bool is_proved_gone(const Worker& worker, TimePoint now) const;
+  [[nodiscard]] bool may_acknowledge(const Attempt& attempt) const;
+  [[nodiscard]] bool record_took_effect() const;
+  [[nodiscard]] bool shows_missing(const Attempt& attempt, std::uint64_t report_number) const;
+  [[nodiscard]] bool may_renew(const Worker& worker) const;
+
+  // Workers: list, acquisition, reports, leases (runner_workers.cpp).
+  WorkerSlot intern_worker(const WorkerInfo& info);
+  void list_worker(const WorkerInfo& info);
+  void miss_worker(WorkerSlot slot, bool trusted);
+  void prove_gone(WorkerSlot slot);
+  void serve_workers();
+  void acquire(WorkerSlot slot);
+  void on_acquired(WorkerSlot slot, std::uint64_t number, const AgentResult& result);
+  void request_report(WorkerSlot slot);
+  void on_report(WorkerSlot slot, std::uint64_t number, const AgentResult& result);
+  void renew(WorkerSlot slot);
+  void acknowledge(WorkerSlot slot);
+  void on_acknowledged(WorkerSlot slot, const proto::platform::AcknowledgeRequest& request,
+                       const AgentResult& result);
+  void answered(Worker& worker);
+  void update_drains();
+  void update_reserve(Worker& worker) const;
+  [[nodiscard]] bool takes_starts(const Worker& worker) const;
+  void update_node(WorkerSlot slot);
+
+  // Reports (runner_reports.cpp).
+  void handle_report(WorkerSlot slot, std::uint64_t number,
+                     const proto::platform::WorkerReport& report);
+  void note_reboot(WorkerSlot slot, const proto::platform::WorkerReport& report,
+                   const std::set<AttemptKey>& listed);
+  void update_attempt(const AttemptRef& ref, Attempt& attempt,
+                      const proto::platform::AttemptReport& report, std::uint64_t number);
+  void note_running(const AttemptRef& ref, Attempt& attempt, std::uint64_t number);
+  void adopt(const AttemptRef& ref, const proto::platform::AttemptReport& report);
+  void adopt_running(const AttemptRef& ref, Attempt attempt);
+  void adopt_ended(const AttemptRef& ref, Attempt attempt,
+                   const proto::platform::AttemptReport& report);
+  void note_missing(const AttemptRef& ref, Attempt& attempt, std::uint64_t number);
+  void learn(Job& job, const Attempt& attempt, const proto::platform::AttemptReport& report);
+
+  // Ends and records (runner_progress.cpp).
+  void end_attempt(const AttemptRef& ref, const proto::platform::AttemptReport& report);
+  void end_as(const AttemptRef& ref, Outcome outcome, std::string note);
+  void never_ran(const AttemptRef& ref);
+  void flush_progress();
+  void add_entry(proto::state::JobTaskProgress& progress, const AttemptRef& ref,
+                 const Attempt& attempt) const;
+  void on_recorded(const std::vector<AttemptRef>& refs, bool applied);
+  void finish_recorded(const AttemptRef& ref);
+  void queue_acknowledgement(const AttemptRef& ref);
+  void release_task(const AttemptRef& ref, WaitingTask state);
+  [[nodiscard]] Outcome outcome_of_failure(const AttemptRef& ref, Attempt& attempt) const;
+
+  // Starts and other commands (runner_tasks.cpp).
+  void start_tasks();
+  bool start_one(JobId id);
+  [[nodiscard]] Resources size_of(const Job& job) const;
+  std::optional<WorkerSlot> choose_worker(JobId id, const Resources& need, const WaitingTask& task);
+  void send_start(const AttemptRef& ref);
+  void on_started(const AttemptRef& ref, const AgentResult& result);
+  void on_start_refused(const AttemptRef& ref, Attempt& attempt);
+  void need_attention(const AttemptRef& ref, Attempt& attempt);
+  void serve_attention();
+  bool attend(const AttemptRef& ref);
+  void send_stop(const AttemptRef& ref, Attempt& attempt);
+  void on_stop_answered(const AttemptRef& ref, const AgentResult& result);
+  void send_throttle(const AttemptRef& ref, Attempt& attempt);
+  void request_stop(const AttemptRef& ref, StopReason reason);
+  void stop_drained(WorkerSlot slot);
+  void charge(const AttemptRef& ref, Attempt& attempt);
+  void recharge(const AttemptRef& ref, Attempt& attempt);
+  void release(const AttemptRef& ref, Attempt& attempt);
+
+  // Configuration (runner_config.cpp).
+  void scan_declaration();
+  void cancel_jobs();
+  void cancel_job(JobId id);
+  void update_teams();
+  void refresh_queue(JobId id);
+  void recount();
+
+  [[nodiscard]] Attempt* find_attempt(const AttemptRef& ref);
+  [[nodiscard]] proto::platform::AttemptRequest request_for(const AttemptKey& key) const;
+  [[nodiscard]] platform::AgentAddress address_of(const Worker& worker) const;
+  void update_takeover();
+  void stale();
+
+  /// Completion that does nothing once the runner is gone.
+  template <typename F>
+  auto guarded(F function) {
+    return [alive = std::weak_ptr<bool>(m_alive), function = std::move(function)](auto result) {
+      if (!alive.expired()) {
+        function(std::move(result));
+      }
+    };
+  }
+
+  ShardOptions m_options;
+  const state::GlobalState& m_global;
+  const state::DomainState& m_domain;
+  state::Stream& m_stream;
+  platform::WorkerAgents& m_agents;
+  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+
+  TimePoint m_now{};
+  bool m_stopped = false;
+  bool m_takeover_complete = false;  // never goes back
+  std::optional<TimePoint> m_first_list;
+  std::uint64_t m_report_counter = 0;
+
+  JobTable m_jobs;
+  ReadyQueue m_queue;
+  PlacementIndex m_placement;
+  std::deque<Worker> m_workers;  // by slot; references stay valid
+  std::unordered_map<std::string, WorkerSlot> m_slots;
+  std::set<JobId> m_active;  // jobs with tasks that wait or run
+  std::set<std::string> m_drains;
+  Resources m_largest;  // largest amounts that some worker can give
+
+  std::vector<AttemptRef> m_attention;
+  std::vector<AttemptRef> m_unrecorded;
+  std::uint32_t m_records_in_flight = 0;
+  TimePoint m_next_flush{};
+  bool m_flush_urgent = false;
+
+  std::uint64_t m_seen_version = 0;
+  bool m_config_seen = false;
+  std::size_t m_seen_moves = 0;
+  int m_scan_next = -1;  // index into the declaration's jobs, -1 when no scan is under way
+  TimePoint m_next_recount{};
+  ShardStats m_stats;
+};
+
+}  // namespace arbutusdale::batch
--- /dev/null
+++ b/include/arbutusdale/batch/runner_model.hpp
@@ -0,0 +1,164 @@
+// What a shard's holder knows of its workers, jobs and attempts. Plain data; the rules that
+// change it are in the runner.
+#pragma once
+
+#include "arbutusdale/batch/shard_runner.hpp"
+#include "arbutusdale/batch/size_model.hpp"
+#include "arbutusdale/state/task_set.hpp"
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace arbutusdale::batch {
+
+using JobId = std::uint32_t;       // index of a job in the runner's table
+using WorkerSlot = std::uint32_t;  // index of a worker in the runner's table
+
+/// One attempt of a task; unique on a worker.
+struct AttemptKey {
+  JobId job = 0;
+  std::uint32_t task = 0;
+  std::uint32_t attempt = 0;
+
+  friend auto operator<=>(const AttemptKey&, const AttemptKey&) = default;
+};
+
+/// An attempt and the worker it was sent to.
+struct AttemptRef {
+  WorkerSlot worker = 0;
+  AttemptKey key;
+};
+
+enum class AttemptPhase : std::uint8_t {
+  starting,  ///< start sent, not yet confirmed by the agent
+  running,   ///< confirmed by the agent
+  ended,     ///< the agent or the loss of the VM proved its end; not yet recorded
+  recorded,  ///< recorded; waits for the acknowledgement
+};
+
+/// Why an attempt is stopped; `unproved` bars a start whose answer was lost.
+enum class StopReason : std::uint8_t { none, cancelled, drained, evicted, duplicate, unproved };
+
+/// Why no task of a job starts now.
+enum class WaitReason : std::uint8_t { none, no_worker_fits, services_under_pressure };
+
+/// How an attempt ended, as it is recorded.
+enum class Outcome : std::uint8_t { none, succeeded, failed_try, failed, evicted, lost, dropped };
+
+struct Attempt {
+  AttemptPhase phase = AttemptPhase::starting;
+  Outcome outcome = Outcome::none;
+  StopReason stop = StopReason::none;
+  bool command_in_flight = false;  // at most one command per attempt is under way
+  /// A start without an answer may reach the agent later; cleared only by an answered stop.
+  bool start_may_arrive = false;
+  bool attention = false;  // listed among the attempts that need a command
+  bool resend = false;     // the start is to be sent again
+  bool fenced = false;     // an answered stop bars every later start of this attempt
+  bool reported = false;   // seen in a report, or its start was confirmed
+  bool inherited = false;  // started under an earlier term
+  bool charged = false;    // counted in its team's use and its worker's occupied amount
+  std::optional<TimePoint> missing_since;  // first report that should list it and did not
+  std::uint32_t starts_sent = 0;
+  std::uint32_t throttle_percent = 100;  // as the agent reports it
+  std::uint32_t wanted_percent = 100;
+  /// Reports requested with a higher number show the effect of the last answered command.
+  std::uint64_t settled_report = 0;
+  std::string boot_id;  // boot in which it was last reported
+  std::string checkpoint;
+  std::string note;
+  Resources committed;  // named in the start command
+  Resources charged_amount;
+  Resources used;
+  std::uint64_t run_ms = 0;
+  TimePoint started{};
+  TimePoint next_command{};  // earliest time of the next command, after a failed one
+};
+
+/// A task that waits for its next attempt and has something to remember.
+struct WaitingTask {
+  std::uint32_t attempt = 1;
+  std::uint32_t failed_tries = 0;
+  std::string checkpoint;
+  std::vector<std::string> failed_workers;
+};
+
+/// Evidence of a job's tries in this shard, to tell bad jobs from bad workers.
+struct JobTries {
+  std::uint64_t succeeded = 0;
+  std::set<std::string> failed_workers;
+};
+
+struct Job {
+  std::string name;
+  proto::state::JobDecl decl;
+  SizeModel sizes;
+  bool declared = false;  // false for a job known only from a report
+  bool cancelled = false;
+  Resources declared_size;
+  std::uint64_t assigned_hash = 0;
+  std::vector<state::TaskSpan> fresh;  // never started, in descending order
+  std::uint64_t fresh_count = 0;       // tasks in `fresh`
+  std::map<std::uint32_t, WaitingTask> waiting;
+  /// Task -> its newest attempt that is not recorded yet. A task is in at most one of `fresh`,
+  /// `waiting` and `live`.
+  std::unordered_map<std::uint32_t, AttemptRef> live;
+  std::map<std::string, std::uint32_t> racks;  // running attempts per rack
+  JobTries tries;
+  WaitReason reason = WaitReason::none;
+  std::uint32_t misses = 0;  // consecutive failures to find a worker
+
+  [[nodiscard]] std::uint64_t pending() const { return fresh_count + waiting.size(); }
+};
+
+/// Latest measurement of one service on one worker.
+struct ServiceState {
+  std::string service;
+  double p99_ratio = 0;  // p99 over its target; 0 when unknown
+  double load = 0;
+};
+
+enum class Access : std::uint8_t {
+  unacquired,  ///< has not answered `acquire` with the term
+  acquired,
+  gone,  ///< the VM is proved gone
+};
+
+struct Worker {
+  WorkerInfo info;
+  Access access = Access::unacquired;
+  bool listed = false;
+  bool draining = false;        // leaving, or drained by the declaration
+  bool refuses_starts = false;  // answered LEAVING
+  bool full = false;            // answered NO_CAPACITY; until the next report
+  bool acquire_in_flight = false;
+  bool report_in_flight = false;
+  bool renew_in_flight = false;
+  bool acknowledge_in_flight = false;
+  bool reachable = true;
+  std::optional<TimePoint> absent_since;  // first trusted list without it, or its last answer
+  TimePoint next_acquire{};
+  TimePoint next_report{};
+  TimePoint next_renew{};
+  std::uint64_t report_number = 0;  // of the last report handled
+  std::string boot_id;
+  std::uint64_t measured_at_ms = 0;
+  TimePoint measured_received{};
+  std::uint64_t act_after_measured_ms = 0;  // reaction to a service waits for a newer measurement
+  std::uint32_t calm_reports = 0;
+  Resources capacity;  // as reported, else as listed
+  Resources reserve;   // held back for the services on the VM
+  Resources occupied;  // sum of the charged amounts of its attempts
+  Resources foreign;   // committed at the agent beyond the attempts that it lists
+  std::map<AttemptKey, Attempt> attempts;
+  std::vector<proto::platform::AttemptRequest> to_acknowledge;
+  std::vector<ServiceState> services;
+};
+
+}  // namespace arbutusdale::batch
--- a/include/arbutusdale/batch/shard_runner.hpp
+++ b/include/arbutusdale/batch/shard_runner.hpp
@@ -14,6 +14,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace arbutusdale::batch {
@@ -26,6 +27,36 @@
 
 std::string_view to_string(Weighting weighting);
 
+/// Safety rule that the runner breaks on purpose. For tests of the fault checker only: each must
+/// make the checker report a violation.
+enum class SeededFault : std::uint8_t {
+  none,
+  skip_takeover_wait,         ///< starts tasks of unknown fate before every worker has answered
+  acknowledge_before_record,  ///< acknowledges ended attempts without waiting for the record
+  ignore_capacity,            ///< places without checking the free capacity
+  resume_without_stop_proof,  ///< resumes evicted work before the agent reports the stop
+  start_cancelled,            ///< keeps starting tasks of cancelled jobs
+};
+
+std::string_view to_string(SeededFault fault);
+
+/// How a worker is chosen.
+enum class PlacementPolicy : std::uint8_t { scored, first_fit };
+/// Which amounts a task is placed with.
+enum class SizePolicy : std::uint8_t { learned, declared };
+/// Whether the measured effect of batch work on services is estimated.
+enum class InterferencePolicy : std::uint8_t { estimated, none };
+/// Which attempt gives way when a service misses its target.
+enum class EvictionPolicy : std::uint8_t { cheapest_offender, newest };
+
+/// Decision rules; the second value of each is the baseline that the first is compared with.
+struct BatchPolicies {
+  PlacementPolicy placement = PlacementPolicy::scored;
+  SizePolicy sizes = SizePolicy::learned;
+  InterferencePolicy interference = InterferencePolicy::estimated;
+  EvictionPolicy eviction = EvictionPolicy::cheapest_offender;
+};
+
 /// A VM of this shard from the VM list.
 struct WorkerInfo {
   std::string id;
@@ -47,6 +78,16 @@
   std::uint32_t default_max_tries = 4;
   bool agent_fencing = true;
   std::uint64_t seed = 1;
+  BatchPolicies policies;
+  /// Workers of the shard that this daemon saw in lists of the last `gone_after` before the term.
+  /// A worker missing from the current list may still run attempts of an earlier term.
+  std::vector<WorkerInfo> recently_listed;
+  /// Least time between the first trusted list and the end of the takeover; `gone_after` for a
+  /// daemon that has not followed the VM list that long, when the shard had a holder before.
+  Duration takeover_wait = Duration{0};
+  /// Wall time for `until_ms` of quarantines; without it steady time is written.
+  const Clock* clock = nullptr;
+  SeededFault seeded_fault = SeededFault::none;
 };
 
 /// Counters and gauges of a shard, for metrics and status.
--- /dev/null
+++ b/src/arbutusdale/batch/job_table.cpp
@@ -0,0 +1,165 @@
+// Task states of a shard's jobs.
+#include "arbutusdale/batch/job_table.hpp"
+
+#include "arbutusdale/core/hash.hpp"
+
+#include <algorithm>
+
+namespace arbutusdale::batch {
+namespace {
+
+std::uint64_t hash_of(const state::TaskSet& tasks) {
+  std::uint64_t result = 1;
+  for (const state::TaskSpan& span : tasks.spans()) {
+    const std::string text = std::to_string(span.first) + "-" + std::to_string(span.last);
+    result = stable_hash(text, result);
+  }
+  return result;
+}
+
+void erase_all(state::TaskSet& from, const state::TaskSet& tasks) {
+  for (const state::TaskSpan& span : tasks.spans()) {
+    from.erase(span);
+  }
+}
+
+void set_fresh(Job& job, const state::TaskSet& tasks) {
+  job.fresh = tasks.spans();
+  std::reverse(job.fresh.begin(), job.fresh.end());
+  job.fresh_count = tasks.size();
+}
+
+}  // namespace
+
+std::optional<JobId> JobTable::find(const std::string& name) const {
+  const auto found = m_ids.find(name);
+  return found == m_ids.end() ? std::nullopt : std::optional<JobId>{found->second};
+}
+
+JobId JobTable::intern(const std::string& name) {
+  const auto [found, added] = m_ids.try_emplace(name, static_cast<JobId>(m_jobs.size()));
+  if (added) {
+    m_jobs.push_back(std::make_unique<Job>());
+    m_jobs.back()->name = name;
+    m_jobs.back()->decl.set_name(name);
+  }
+  return found->second;
+}
+
+std::optional<JobId> JobTable::declare(const proto::state::JobDecl& decl) {
+  const state::TaskSet assigned =
+      state::assigned_tasks(m_global.declaration(), decl, m_domain, m_domain_name, m_shard);
+  if (assigned.empty() && !find(decl.name())) {
+    return std::nullopt;
+  }
+  const JobId id = intern(decl.name());
+  Job& entry = job(id);
+  entry.decl = decl;
+  entry.declared = true;
+  entry.declared_size = platform::from_proto(decl.resources());
+  const std::uint64_t hash = hash_of(assigned);
+  if (hash != entry.assigned_hash) {
+    entry.assigned_hash = hash;
+    assign(entry, assigned);
+  }
+  return id;
+}
+
+void JobTable::assign(Job& job, const state::TaskSet& assigned) {
+  state::TaskSet fresh = assigned;
+  job.waiting.clear();
+  if (const state::JobRecord* record = m_domain.job(job.name)) {
+    erase_all(fresh, record->succeeded);
+    erase_all(fresh, record->failed);
+    for (const auto& [task, entry] : record->remembered) {
+      if (!fresh.contains(task)) {
+        continue;
+      }
+      fresh.erase({task, task});
+      if (!job.live.contains(task)) {
+        job.waiting.emplace(task, recorded(job.name, task));
+      }
+    }
+  }
+  for (const auto& [task, ref] : job.live) {
+    fresh.erase({task, task});
+  }
+  set_fresh(job, fresh);
+}
+
+std::optional<TakenTask> JobTable::take(Job& job) {
+  if (!job.waiting.empty()) {
+    const auto first = job.waiting.begin();
+    TakenTask taken{first->first, std::move(first->second)};
+    job.waiting.erase(first);
+    return taken;
+  }
+  if (job.fresh.empty()) {
+    return std::nullopt;
+  }
+  state::TaskSpan& span = job.fresh.back();
+  TakenTask taken{span.first, {}};
+  --job.fresh_count;
+  if (span.first == span.last) {
+    job.fresh.pop_back();
+  } else {
+    ++span.first;
+  }
+  return taken;
+}
+
+void JobTable::put_back(Job& job, std::uint32_t task, WaitingTask state) {
+  job.waiting.insert_or_assign(task, std::move(state));
+}
+
+void JobTable::forget_startable(Job& job, std::uint32_t task) {
+  job.waiting.erase(task);
+  const auto holds = [task](const state::TaskSpan& span) {
+    return span.first <= task && task <= span.last;
+  };
+  if (std::none_of(job.fresh.begin(), job.fresh.end(), holds)) {
+    return;
+  }
+  state::TaskSet rest;
+  for (const state::TaskSpan& span : job.fresh) {
+    rest.insert(span);
+  }
+  rest.erase({task, task});
+  set_fresh(job, rest);
+}
+
+void JobTable::clear_startable(Job& job) {
+  job.fresh.clear();
+  job.fresh_count = 0;
+  job.waiting.clear();
+}
+
+WaitingTask JobTable::recorded(const std::string& job, std::uint32_t task) const {
+  WaitingTask result;
+  const state::JobRecord* record = m_domain.job(job);
+  if (record == nullptr) {
+    return result;
+  }
+  const auto found = record->remembered.find(task);
+  if (found == record->remembered.end()) {
+    return result;
+  }
+  const proto::state::TaskEntry& entry = found->second;
+  result.attempt = std::max(1U, entry.next_attempt());
+  result.failed_tries = entry.failed_tries();
+  result.checkpoint = entry.checkpoint();
+  result.failed_workers.assign(entry.failed_workers().begin(), entry.failed_workers().end());
+  return result;
+}
+
+bool JobTable::is_finished(const std::string& job, std::uint32_t task) const {
+  const state::JobRecord* record = m_domain.job(job);
+  return record != nullptr && (record->succeeded.contains(task) || record->failed.contains(task));
+}
+
+bool JobTable::is_recorded(const std::string& job, std::uint32_t task,
+                           std::uint32_t attempt) const {
+  return is_finished(job, task) || recorded(job, task).attempt > attempt;
+}
+
+}  // namespace arbutusdale::batch
--- /dev/null
+++ b/src/arbutusdale/batch/runner_config.cpp
@@ -0,0 +1,157 @@
+// Takes over the declaration: jobs, cancellations, drains and team shares, a bounded part of the
+// jobs in each tick.
+#include "arbutusdale/batch/runner.hpp"
+
+#include <algorithm>
+
+namespace arbutusdale::batch {
+namespace {
+
+// Jobs looked at in one tick; a declaration of 100,000 jobs is taken over in 5 s.
+constexpr int k_max_jobs_scanned_per_tick = 1'000;
+constexpr Duration k_recount_interval = std::chrono::milliseconds{500};
+
+}  // namespace
+
+void Runner::state_changed(TimePoint now) {
+  m_now = now;
+  if (m_stopped) {
+    return;
+  }
+  cancel_jobs();
+  const bool version_changed = !m_config_seen || m_global.version() != m_seen_version;
+  if (version_changed) {
+    m_config_seen = true;
+    m_seen_version = m_global.version();
+    update_teams();
+    update_drains();
+  }
+  if (version_changed || m_domain.moves().size() != m_seen_moves) {
+    m_seen_moves = m_domain.moves().size();
+    m_scan_next = 0;
+  }
+}
+
+void Runner::update_teams() {
+  const proto::state::Declaration& declaration = m_global.declaration();
+  std::uint64_t total = 0;
+  std::uint64_t own = 0;
+  for (const proto::state::DomainDecl& domain : declaration.domains()) {
+    total += domain.weight();
+    own += domain.name() == m_options.domain ? domain.weight() : 0;
+  }
+  if (total == 0) {
+    total = static_cast<std::uint64_t>(std::max(1, declaration.domains_size()));
+    own = 1;
+  }
+  const std::uint32_t shards = state::shard_count(declaration, m_options.domain);
+  for (const proto::state::TeamDecl& team : declaration.teams()) {
+    TeamShare share;
+    share.weight = std::max(1U, team.batch_weight());
+    const Resources quota = platform::from_proto(team.quota());
+    if (!is_zero(quota)) {
+      share.quota = quota_share(quota, own, total, shards);
+    }
+    m_queue.set_team(team.name(), share);
+  }
+}
+
+void Runner::cancel_jobs() {
+  std::vector<JobId> cancelled;
+  for (const JobId id : m_active) {
+    const Job& job = m_jobs.job(id);
+    if (!job.cancelled && m_global.is_cancelled(job.name)) {
+      cancelled.push_back(id);
+    }
+  }
+  for (const JobId id : cancelled) {
+    cancel_job(id);
+  }
+}
+
+void Runner::cancel_job(JobId id) {
+  Job& job = m_jobs.job(id);
+  if (m_options.seeded_fault == SeededFault::start_cancelled) {
+    return;
+  }
+  job.cancelled = true;
+  JobTable::clear_startable(job);
+  m_queue.remove(id);
+  std::vector<AttemptRef> live;
+  for (const auto& [task, ref] : job.live) {
+    live.push_back(ref);
+  }
+  // The table is unordered; commands go out in a fixed order so that runs can be repeated.
+  std::sort(live.begin(), live.end(),
+            [](const AttemptRef& a, const AttemptRef& b) { return a.key < b.key; });
+  for (const AttemptRef& ref : live) {
+    request_stop(ref, StopReason::cancelled);
+  }
+}
+
+void Runner::scan_declaration() {
+  if (m_scan_next < 0) {
+    return;
+  }
+  const auto& jobs = m_global.declaration().jobs();
+  const int end = std::min(jobs.size(), m_scan_next + k_max_jobs_scanned_per_tick);
+  for (; m_scan_next < end; ++m_scan_next) {
+    const proto::state::JobDecl& decl = jobs[m_scan_next];
+    if (m_global.is_cancelled(decl.name())) {
+      continue;
+    }
+    const std::optional<JobId> id = m_jobs.declare(decl);
+    if (id) {
+      refresh_queue(*id);
+    }
+  }
+  if (m_scan_next >= jobs.size()) {
+    m_scan_next = -1;
+  }
+}
+
+void Runner::refresh_queue(JobId id) {
+  const Job& job = m_jobs.job(id);
+  if (job.pending() > 0 || !job.live.empty()) {
+    m_active.insert(id);
+  } else {
+    m_active.erase(id);
+  }
+  if (job.pending() == 0 || !job_may_start(job)) {
+    m_queue.remove(id);
+    return;
+  }
+  if (!m_queue.contains(id)) {
+    m_queue.add(ReadyJob{id, job.decl.team(), std::min(9U, job.decl.priority()), job.decl.urgent(),
+                         size_of(job)},
+                m_now);
+  }
+}
+
+void Runner::recount() {
+  if (m_now < m_next_recount) {
+    return;
+  }
+  m_next_recount = m_now + k_recount_interval;
+  std::uint64_t pending = 0;
+  for (const JobId id : m_active) {
+    pending += m_jobs.job(id).pending();
+  }
+  m_stats.pending = static_cast<std::uint32_t>(pending);
+  m_stats.takeover_complete = m_takeover_complete;
+  m_stats.blocked = m_takeover_complete ? 0 : m_stats.pending;
+  m_stats.workers_acquired = 0;
+  m_stats.workers_unreachable = 0;
+  Resources capacity;
+  for (const Worker& worker : m_workers) {
+    if (worker.access == Access::gone) {
+      continue;
+    }
+    m_stats.workers_acquired += worker.access == Access::acquired ? 1 : 0;
+    m_stats.workers_unreachable += worker.reachable ? 0 : 1;
+    capacity = plus(capacity, worker.capacity);
+  }
+  m_queue.set_capacity(capacity);
+}
+
+}  // namespace arbutusdale::batch
--- /dev/null
+++ b/src/arbutusdale/batch/runner_tasks.cpp
@@ -0,0 +1,417 @@
+// Commands to agents about attempts: starts, stops, throttles. At most one per attempt is under
+// way, and a start whose answer is lost stays committed to its worker.
+#include "arbutusdale/batch/runner.hpp"
+
+#include <algorithm>
+
+namespace arbutusdale::batch {
+namespace {
+
+using proto::platform::AgentReply;
+
+// 160 starts in a tick of 50 ms are 3,200/s, above the fleet's peak.
+constexpr std::uint32_t k_max_starts_per_tick = 160;
+// Failed searches per tick; bounds the cost when nothing fits.
+constexpr std::uint32_t k_max_misses_per_tick = 32;
+constexpr std::uint32_t k_max_commands_per_tick = 200;
+constexpr std::uint32_t k_max_start_sends = 3;
+constexpr Duration k_command_retry = std::chrono::seconds{1};
+constexpr Duration k_miss_backoff = std::chrono::milliseconds{100};
+constexpr std::uint32_t k_max_miss_doublings = 4;
+constexpr double k_rack_weight = 1.0;
+constexpr double k_packing_weight = 0.2;
+
+double fill_after(const Resources& need, const PlacementNode& node) {
+  if (node.capacity.cpu_millis == 0) {
+    return 0;
+  }
+  const std::uint64_t left = minus(node.free, need).cpu_millis;
+  return 1.0 - static_cast<double>(left) / static_cast<double>(node.capacity.cpu_millis);
+}
+
+}  // namespace
+
+Attempt* Runner::find_attempt(const AttemptRef& ref) {
+  auto& attempts = m_workers[ref.worker].attempts;
+  const auto found = attempts.find(ref.key);
+  return found == attempts.end() ? nullptr : &found->second;
+}
+
+proto::platform::AttemptRequest Runner::request_for(const AttemptKey& key) const {
+  proto::platform::AttemptRequest request;
+  request.set_token(m_options.term);
+  request.set_job(m_jobs.job(key.job).name);
+  request.set_task(key.task);
+  request.set_attempt(key.attempt);
+  return request;
+}
+
+/// Once a cancellation is applied no task of the job starts.
+bool Runner::job_may_start(const Job& job) const {
+  if (m_options.seeded_fault == SeededFault::start_cancelled) {
+    return job.declared;
+  }
+  return job.declared && !job.cancelled && !m_global.is_cancelled(job.name);
+}
+
+void Runner::charge(const AttemptRef& ref, Attempt& attempt) {
+  Worker& worker = m_workers[ref.worker];
+  Job& job = m_jobs.job(ref.key.job);
+  attempt.charged = true;
+  attempt.charged_amount = attempt.committed;
+  worker.occupied = plus(worker.occupied, attempt.committed);
+  m_queue.charge(job.decl.team(), attempt.committed);
+  ++job.racks[worker.info.rack];
+  ++m_stats.running;
+  update_node(ref.worker);
+}
+
+// Measured use above the committed amount counts too, so that a task that outgrows its size keeps
+// further tasks off its VM.
+void Runner::recharge(const AttemptRef& ref, Attempt& attempt) {
+  if (!attempt.charged) {
+    return;
+  }
+  Worker& worker = m_workers[ref.worker];
+  const Resources amount{std::max(attempt.committed.cpu_millis, attempt.used.cpu_millis),
+                         std::max(attempt.committed.memory_mib, attempt.used.memory_mib),
+                         attempt.committed.accelerators};
+  worker.occupied = plus(minus(worker.occupied, attempt.charged_amount), amount);
+  attempt.charged_amount = amount;
+}
+
+void Runner::release(const AttemptRef& ref, Attempt& attempt) {
+  if (!attempt.charged) {
+    return;
+  }
+  attempt.charged = false;
+  Worker& worker = m_workers[ref.worker];
+  Job& job = m_jobs.job(ref.key.job);
+  worker.occupied = minus(worker.occupied, attempt.charged_amount);
+  m_queue.release(job.decl.team(), attempt.committed);
+  if (--job.racks[worker.info.rack] == 0) {
+    job.racks.erase(worker.info.rack);
+  }
+  --m_stats.running;
+  update_node(ref.worker);
+}
+
+// A learned size above what any worker can give is cut back to that, so that it cannot keep a
+// job from running that fits by its declaration.
+Resources Runner::size_of(const Job& job) const {
+  if (m_options.policies.sizes == SizePolicy::declared) {
+    return job.declared_size;
+  }
+  Resources size = job.sizes.size(job.declared_size);
+  size.cpu_millis =
+      std::min(size.cpu_millis, std::max(m_largest.cpu_millis, job.declared_size.cpu_millis));
+  size.memory_mib =
+      std::min(size.memory_mib, std::max(m_largest.memory_mib, job.declared_size.memory_mib));
+  return size;
+}
+
+void Runner::start_tasks() {
+  if (!unknown_tasks_may_start()) {
+    return;
+  }
+  std::uint32_t starts = 0;
+  std::uint32_t misses = 0;
+  while (starts < k_max_starts_per_tick && misses < k_max_misses_per_tick && !m_stopped) {
+    const std::optional<std::uint32_t> id = m_queue.next(m_now);
+    if (!id) {
+      return;
+    }
+    if (!job_may_start(m_jobs.job(*id))) {
+      m_queue.remove(*id);
+      continue;
+    }
+    (start_one(*id) ? starts : misses) += 1;
+  }
+}
+
+std::optional<WorkerSlot> Runner::choose_worker(JobId id, const Resources& need,
+                                                const WaitingTask& task) {
+  const Job& job = m_jobs.job(id);
+  double running = 1;
+  for (const auto& [rack, count] : job.racks) {
+    running += count;
+  }
+  const bool avoid = task.failed_workers.size() < m_stats.workers_acquired;
+  const PlacementCost cost = [&](std::uint32_t slot) -> std::optional<double> {
+    const Worker& worker = m_workers[slot];
+    const auto& failed = task.failed_workers;
+    if (avoid && std::find(failed.begin(), failed.end(), worker.info.id) != failed.end()) {
+      return std::nullopt;
+    }
+    const auto rack = job.racks.find(worker.info.rack);
+    const double crowding = rack == job.racks.end() ? 0 : rack->second / running;
+    return k_rack_weight * crowding - k_packing_weight * fill_after(need, m_placement.node(slot));
+  };
+  return m_placement.choose(need, cost, m_options.seeded_fault != SeededFault::ignore_capacity);
+}
+
+bool Runner::start_one(JobId id) {
+  Job& job = m_jobs.job(id);
+  std::optional<TakenTask> taken = m_jobs.take(job);
+  if (!taken) {
+    m_queue.remove(id);
+    return false;
+  }
+  const Resources need = size_of(job);
+  const std::optional<WorkerSlot> slot = choose_worker(id, need, taken->state);
+  if (!slot) {
+    JobTable::put_back(job, taken->task, std::move(taken->state));
+    job.reason = WaitReason::no_worker_fits;
+    const std::uint32_t doublings = std::min(job.misses++, k_max_miss_doublings);
+    m_queue.defer(id, m_now + k_miss_backoff * (job.decl.urgent() ? 1 : 1 << doublings));
+    return false;
+  }
+  job.misses = 0;
+  job.reason = WaitReason::none;
+  const AttemptRef ref{*slot, {id, taken->task, taken->state.attempt}};
+  Attempt& attempt = m_workers[*slot].attempts[ref.key];
+  attempt = Attempt{};
+  attempt.committed = need;
+  attempt.checkpoint = std::move(taken->state.checkpoint);
+  attempt.started = m_now;
+  job.live.insert_or_assign(ref.key.task, ref);
+  charge(ref, attempt);
+  m_queue.started(id, m_now);
+  refresh_queue(id);
+  ++m_stats.started;
+  send_start(ref);
+  return true;
+}
+
+void Runner::send_start(const AttemptRef& ref) {
+  Attempt& attempt = *find_attempt(ref);
+  const Job& job = m_jobs.job(ref.key.job);
+  attempt.command_in_flight = true;
+  attempt.resend = false;
+  ++attempt.starts_sent;
+  proto::platform::StartRequest request;
+  request.set_token(m_options.term);
+  request.set_job(job.name);
+  request.set_task(ref.key.task);
+  request.set_attempt(ref.key.attempt);
+  *request.mutable_resources() = platform::to_proto(attempt.committed);
+  request.set_checkpoint(attempt.checkpoint);
+  request.set_command(job.decl.command());
+  request.set_expected_ms(job.sizes.expected_ms(job.decl.expected_ms()));
+  m_agents.start(address_of(m_workers[ref.worker]), request,
+                 guarded([this, ref](AgentResult result) { on_started(ref, result); }));
+}
+
+void Runner::on_started(const AttemptRef& ref, const AgentResult& result) {
+  Attempt* attempt = find_attempt(ref);
+  if (attempt == nullptr) {
+    return;
+  }
+  attempt->command_in_flight = false;
+  attempt->settled_report = m_report_counter;
+  attempt->next_command = m_now + k_command_retry;
+  if (attempt->phase == AttemptPhase::ended || attempt->phase == AttemptPhase::recorded) {
+    return;
+  }
+  Worker& worker = m_workers[ref.worker];
+  if (!result) {
+    worker.reachable = false;
+    if (result.error().verdict != Verdict::not_run) {
+      attempt->start_may_arrive = true;
+    }
+    on_start_refused(ref, *attempt);
+    return;
+  }
+  switch (result->code()) {
+    case AgentReply::OK:
+      attempt->phase = AttemptPhase::running;
+      attempt->reported = true;
+      return;
+    case AgentReply::STALE_TOKEN:
+      stale();
+      return;
+    case AgentReply::ALREADY_ENDED:
+      // The agent lists the end, or holds a tombstone; the next reports tell which.
+      attempt->fenced = true;
+      return;
+    case AgentReply::NO_CAPACITY:
+      worker.full = true;
+      break;
+    case AgentReply::LEAVING:
+      worker.refuses_starts = true;
+      break;
+    default:
+      attempt->start_may_arrive = true;
+      return;
+  }
+  on_start_refused(ref, *attempt);
+}
+
+// Nothing was started by this command. Unless an earlier one may still arrive, the task is free.
+void Runner::on_start_refused(const AttemptRef& ref, Attempt& attempt) {
+  update_node(ref.worker);
+  if (attempt.start_may_arrive || attempt.reported) {
+    return;
+  }
+  WaitingTask next = m_jobs.recorded(m_jobs.job(ref.key.job).name, ref.key.task);
+  next.attempt = std::max(next.attempt, ref.key.attempt);
+  next.checkpoint = attempt.checkpoint;
+  --m_stats.started;
+  release(ref, attempt);
+  m_workers[ref.worker].attempts.erase(ref.key);
+  release_task(ref, std::move(next));
+}
+
+void Runner::need_attention(const AttemptRef& ref, Attempt& attempt) {
+  if (!attempt.attention) {
+    attempt.attention = true;
+    m_attention.push_back(ref);
+  }
+}
+
+void Runner::serve_attention() {
+  std::vector<AttemptRef> refs;
+  refs.swap(m_attention);
+  std::uint32_t sent = 0;
+  for (const AttemptRef& ref : refs) {
+    if (sent >= k_max_commands_per_tick || m_stopped) {
+      m_attention.push_back(ref);
+      continue;
+    }
+    sent += attend(ref) ? 1 : 0;
+  }
+}
+
+// Sends the command that the attempt needs next. Returns whether one was sent.
+bool Runner::attend(const AttemptRef& ref) {
+  Attempt* attempt = find_attempt(ref);
+  if (attempt == nullptr) {
+    return false;
+  }
+  attempt->attention = false;
+  if (attempt->phase == AttemptPhase::ended || attempt->phase == AttemptPhase::recorded) {
+    return false;
+  }
+  if (attempt->command_in_flight || m_now < attempt->next_command) {
+    need_attention(ref, *attempt);
+    return false;
+  }
+  if (attempt->resend && attempt->stop == StopReason::none) {
+    const bool wanted = attempt->starts_sent < k_max_start_sends &&
+                        takes_starts(m_workers[ref.worker]) &&
+                        job_may_start(m_jobs.job(ref.key.job));
+    if (wanted) {
+      send_start(ref);
+      return true;
+    }
+    attempt->stop = StopReason::unproved;
+  }
+  if (attempt->stop != StopReason::none) {
+    if (attempt->fenced) {
+      return false;
+    }
+    send_stop(ref, *attempt);
+    return true;
+  }
+  if (attempt->wanted_percent != attempt->throttle_percent) {
+    send_throttle(ref, *attempt);
+    return true;
+  }
+  return false;
+}
+
+void Runner::request_stop(const AttemptRef& ref, StopReason reason) {
+  Attempt* attempt = find_attempt(ref);
+  if (attempt == nullptr || attempt->phase == AttemptPhase::ended ||
+      attempt->phase == AttemptPhase::recorded) {
+    return;
+  }
+  // A cancellation takes precedence: its attempt has no result that would be resumed.
+  if (attempt->stop != StopReason::none && reason != StopReason::cancelled) {
+    return;
+  }
+  attempt->stop = reason;
+  if (!attempt->fenced) {
+    need_attention(ref, *attempt);
+  }
+  const bool resumes = reason == StopReason::evicted || reason == StopReason::drained;
+  if (resumes && m_options.seeded_fault == SeededFault::resume_without_stop_proof) {
+    WaitingTask next = m_jobs.recorded(m_jobs.job(ref.key.job).name, ref.key.task);
+    next.attempt = ref.key.attempt + 1;
+    next.checkpoint = attempt->checkpoint;
+    release_task(ref, std::move(next));
+  }
+}
+
+void Runner::send_stop(const AttemptRef& ref, Attempt& attempt) {
+  attempt.command_in_flight = true;
+  proto::platform::AttemptRequest request = request_for(ref.key);
+  request.set_take_checkpoint(m_jobs.job(ref.key.job).decl.checkpoint() &&
+                              attempt.stop != StopReason::cancelled &&
+                              attempt.stop != StopReason::duplicate);
+  m_agents.stop(address_of(m_workers[ref.worker]), request,
+                guarded([this, ref](AgentResult result) { on_stop_answered(ref, result); }));
+}
+
+void Runner::on_stop_answered(const AttemptRef& ref, const AgentResult& result) {
+  Attempt* attempt = find_attempt(ref);
+  if (attempt == nullptr) {
+    return;
+  }
+  attempt->command_in_flight = false;
+  attempt->settled_report = m_report_counter;
+  attempt->next_command = m_now + k_command_retry;
+  if (result && result->code() == AgentReply::STALE_TOKEN) {
+    stale();
+    return;
+  }
+  if (!result) {
+    need_attention(ref, *attempt);
+    return;
+  }
+  // The agent holds a tombstone now. The next report shows the end, or omits the attempt.
+  attempt->fenced = true;
+  attempt->start_may_arrive = false;
+  attempt->missing_since.reset();
+  m_workers[ref.worker].next_report = m_now;
+}
+
+void Runner::send_throttle(const AttemptRef& ref, Attempt& attempt) {
+  attempt.command_in_flight = true;
+  proto::platform::AttemptRequest request = request_for(ref.key);
+  const std::uint32_t percent = attempt.wanted_percent;
+  request.set_throttle_percent(percent);
+  m_agents.throttle(address_of(m_workers[ref.worker]), request,
+                    guarded([this, ref, percent](AgentResult result) {
+                      Attempt* throttled = find_attempt(ref);
+                      if (throttled == nullptr) {
+                        return;
+                      }
+                      throttled->command_in_flight = false;
+                      throttled->next_command = m_now + k_command_retry;
+                      if (!result) {
+                        need_attention(ref, *throttled);
+                      } else if (result->code() == AgentReply::STALE_TOKEN) {
+                        stale();
+                      } else if (result->code() == AgentReply::OK) {
+                        throttled->throttle_percent = percent;
+                      }
+                    }));
+}
+
+void Runner::stop_drained(WorkerSlot slot) {
+  if (!m_workers[slot].draining) {
+    return;
+  }
+  std::vector<AttemptKey> keys;
+  for (const auto& [key, attempt] : m_workers[slot].attempts) {
+    if (attempt.stop == StopReason::none) {
+      keys.push_back(key);
+    }
+  }
+  for (const AttemptKey& key : keys) {
+    request_stop({slot, key}, StopReason::drained);
+  }
+}
+
+}  // namespace arbutusdale::batch
