Add the request router

Routes each call of a service to a slot of a target: weighted fair queue by team with bounded length and early refusal, slots dealt in rotation over the live daemons with borrowing, outlier ejection on errors and latency, slow start, budgeted retries with an exact verdict, and spill to other failure domains. Round robin, random and least in flight remain as baselines.

--- /dev/null
+++ b/src/arbutusdale/routing/fair_queue.hpp
@@ -0,0 +1,61 @@
+// Weighted fair queue over teams by start-time fair queueing: a team that stays within its share
+// waits only for its own calls, however long the queues of other teams are.
+#pragma once
+
+#include "arbutusdale/routing/request_router.hpp"
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace arbutusdale::routing {
+
+class FairQueue {
+ public:
+  /// Teams that are not listed share one queue of weight 1, so that invented names gain no share.
+  void set_teams(const std::vector<TeamConfig>& teams);
+
+  void push(CallId call, const std::string& team);
+  /// Next call in fair order, or nothing.
+  [[nodiscard]] std::optional<CallId> front() const;
+  /// Removes the next call and charges its team.
+  void pop();
+  /// Removes a queued call; false when it is not queued here.
+  bool erase(CallId call);
+  /// Removes the newest call of the team with the most queued calls per weight, when that is
+  /// another team than `team`; makes room for a team that is within its share.
+  std::optional<CallId> displace_for(const std::string& team);
+
+  [[nodiscard]] std::uint32_t size() const { return static_cast<std::uint32_t>(m_where.size()); }
+  /// Calls that are served before a new call of `team`, as seen from its share of the service.
+  [[nodiscard]] double calls_ahead(const std::string& team) const;
+
+ private:
+  struct TeamQueue {
+    double weight = 1.0;
+    double start_tag = 0.0;  // virtual time at which the head may start
+    std::list<CallId> calls;
+  };
+  struct Place {
+    std::string team;
+    std::list<CallId>::iterator position;
+  };
+
+  [[nodiscard]] const std::string& queue_name(const std::string& team) const;
+  void remove(std::unordered_map<CallId, Place>::iterator place);
+  void deactivate(const std::string& name, TeamQueue& queue);
+
+  std::map<std::string, TeamQueue> m_teams;           // always holds the shared queue, named ""
+  std::set<std::pair<double, std::string>> m_active;  // (start tag, team) of non-empty queues
+  std::unordered_map<CallId, Place> m_where;
+  double m_virtual_time = 0.0;
+  double m_active_weight = 0.0;
+};
+
+}  // namespace arbutusdale::routing
--- /dev/null
+++ b/src/arbutusdale/routing/spill.cpp
@@ -0,0 +1,91 @@
+// Two candidates are drawn at random and the better one is used, so that many daemons with the
+// same reports do not all choose the same peer.
+#include "spill.hpp"
+
+#include <algorithm>
+
+namespace arbutusdale::routing {
+namespace {
+
+// Expected extra delay of a lost packet: one retransmission after a typical timeout of TCP.
+constexpr Duration k_loss_delay = std::chrono::milliseconds{300};
+// A failure domain that is missing from the reports for this long counts as cut off.
+constexpr Duration k_cut_after = std::chrono::seconds{3};
+
+}  // namespace
+
+SpillTable::SpillTable(Duration crossing_cost, Duration ramp, std::uint64_t seed)
+    : m_crossing_cost{crossing_cost}, m_ramp{ramp}, m_random{seed} {}
+
+void SpillTable::set_peers(const std::vector<PeerInfo>& peers, TimePoint now) {
+  for (auto& [daemon, peer] : m_peers) {
+    peer.present = false;
+  }
+  m_present.clear();
+  for (const auto& info : peers) {
+    auto& peer = m_peers[info.daemon];
+    peer.info = info;
+    peer.present = true;
+    m_present.push_back(info.daemon);
+    const auto [domain, is_new] = m_domains.try_emplace(info.domain, Domain{now, now});
+    if (!is_new && now - domain->second.last_seen > k_cut_after) {
+      domain->second.ramp_start = now;
+    }
+    domain->second.last_seen = now;
+  }
+  std::erase_if(m_peers, [](const auto& entry) {
+    return !entry.second.present && entry.second.under_way == 0;
+  });
+}
+
+Duration SpillTable::delay(const Peer& peer, Duration service_time) const {
+  const double own_queue = static_cast<double>(peer.under_way) /
+                           std::max(1.0, static_cast<double>(peer.info.idle_slots));
+  const auto queueing = std::chrono::duration_cast<Duration>(service_time * own_queue);
+  const auto loss = std::chrono::duration_cast<Duration>(k_loss_delay * peer.info.loss);
+  return peer.info.queue_delay + peer.info.round_trip + m_crossing_cost + loss + queueing;
+}
+
+double SpillTable::ramp_share(const std::string& domain, TimePoint now) const {
+  const auto found = m_domains.find(domain);
+  if (found == m_domains.end() || m_ramp <= Duration::zero()) {
+    return 1.0;
+  }
+  const std::chrono::duration<double> age = now - found->second.ramp_start;
+  return std::clamp(age / m_ramp, 0.0, 1.0);
+}
+
+std::optional<SpillTarget> SpillTable::take(Duration local_wait, Duration service_time,
+                                            const std::vector<std::string>& avoid, TimePoint now) {
+  constexpr int k_candidates = 2;
+  Peer* best = nullptr;
+  Duration best_delay = local_wait;
+  for (int i = 0; i < k_candidates && !m_present.empty(); ++i) {
+    auto& peer = m_peers[m_present[random_index(m_random, m_present.size())]];
+    const bool avoided = std::find(avoid.begin(), avoid.end(), peer.info.daemon) != avoid.end();
+    const Duration expected = delay(peer, service_time);
+    if (avoided || expected >= best_delay) {
+      continue;
+    }
+    best = &peer;
+    best_delay = expected;
+  }
+  if (best == nullptr || random_unit(m_random) >= ramp_share(best->info.domain, now)) {
+    return std::nullopt;
+  }
+  ++best->under_way;
+  return SpillTarget{best->info.daemon, best->info.caller_address};
+}
+
+void SpillTable::release(const std::string& daemon, bool failed, TimePoint now) {
+  const auto found = m_peers.find(daemon);
+  if (found == m_peers.end()) {
+    return;
+  }
+  found->second.under_way -= std::min<std::uint32_t>(1, found->second.under_way);
+  if (failed) {
+    m_domains[found->second.info.domain].ramp_start = now;
+  }
+}
+
+}  // namespace arbutusdale::routing
--- /dev/null
+++ b/src/arbutusdale/routing/spill.hpp
@@ -0,0 +1,55 @@
+// Daemons of other failure domains as places to send calls that would wait too long here.
+#pragma once
+
+#include "arbutusdale/core/random.hpp"
+#include "arbutusdale/routing/request_router.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace arbutusdale::routing {
+
+struct SpillTarget {
+  std::string daemon;
+  std::string address;
+};
+
+class SpillTable {
+ public:
+  SpillTable(Duration crossing_cost, Duration ramp, std::uint64_t seed);
+
+  void set_peers(const std::vector<PeerInfo>& peers, TimePoint now);
+
+  /// Daemon that is expected to serve a call sooner than `local_wait`, or nothing. Counts the call
+  /// as under way to it. `service_time` is the mean time that a call takes at a target.
+  std::optional<SpillTarget> take(Duration local_wait, Duration service_time,
+                                  const std::vector<std::string>& avoid, TimePoint now);
+  /// Ends a forwarded call. A failure cuts its failure domain off until the next ramp.
+  void release(const std::string& daemon, bool failed, TimePoint now);
+
+ private:
+  struct Peer {
+    PeerInfo info;
+    std::uint32_t under_way = 0;
+    bool present = false;
+  };
+  struct Domain {
+    TimePoint ramp_start{};
+    TimePoint last_seen{};
+  };
+
+  [[nodiscard]] Duration delay(const Peer& peer, Duration service_time) const;
+  [[nodiscard]] double ramp_share(const std::string& domain, TimePoint now) const;
+
+  Duration m_crossing_cost;
+  Duration m_ramp;
+  Random m_random;
+  std::unordered_map<std::string, Peer> m_peers;      // by daemon
+  std::unordered_map<std::string, Domain> m_domains;  // by name
+  std::vector<std::string> m_present;                 // daemons in the last list
+};
+
+}  // namespace arbutusdale::routing
