--- a/include/arbutusdale/state/limits.hpp
+++ b/include/arbutusdale/state/limits.hpp
@@ -31,13 +31,13 @@
 /// Notes of given-up tasks kept per job.
 constexpr std::size_t k_max_failed_notes_kept = 100;
 
-constexpr std::size_t k_max_record_bytes = 256 * 1'024;
-constexpr std::size_t k_max_batch_bytes = 256 * 1'024;
+constexpr std::size_t k_max_record_bytes = 262'144;
+constexpr std::size_t k_max_batch_bytes = 262'144;
 constexpr std::size_t k_max_queued_records = 10'000;
-constexpr std::size_t k_max_queued_bytes = 8 * 1'024 * 1'024;
+constexpr std::size_t k_max_queued_bytes = 8'388'608;
 constexpr std::uint32_t k_read_limit_entries = 128;
 
-constexpr std::size_t k_snapshot_chunk_bytes = 64 * 1'024;
+constexpr std::size_t k_snapshot_chunk_bytes = 65'536;
 constexpr std::uint32_t k_max_snapshot_chunks = 1'024;
 /// Snapshots under assembly at once; the one that started first is dropped.
 constexpr std::size_t k_max_partial_snapshots = 8;
--- a/src/arbutusdale/state/append_queue.hpp
+++ b/src/arbutusdale/state/append_queue.hpp
@@ -21,6 +21,24 @@
   std::string payload;
 };
 
+/// A record that waits to be applied.
+struct Pending {
+  proto::state::Record record;
+  std::size_t bytes = 0;
+  bool urgent = false;
+  bool sent = false;  // at least once; a copy may still appear in the log
+  Stream::Applied done;
+};
+
+/// The append whose fate is open.
+struct InFlight {
+  std::deque<Pending> records;  // not read back yet
+  bool is_chunk = false;
+  TimePoint sent_at;
+  std::optional<std::uint64_t> offset;         // as answered by the log
+  std::optional<std::uint64_t> settled_after;  // reads with a higher number settle the append
+};
+
 /// One append is in flight at a time, and it is settled only by reading its records back. So the
 /// log holds the records of a writer in the order of their sequence, on which RecordIds relies.
 ///
@@ -56,22 +74,6 @@
   std::vector<std::pair<Stream::Applied, Result<std::uint64_t>>> take_outcomes();
 
  private:
-  struct Pending {
-    proto::state::Record record;
-    std::size_t bytes = 0;
-    bool urgent = false;
-    bool sent = false;  // at least once; a copy may still appear in the log
-    Stream::Applied done;
-  };
-
-  struct InFlight {
-    std::deque<Pending> records;  // not read back yet
-    bool is_chunk = false;
-    TimePoint sent_at;
-    std::optional<std::uint64_t> offset;         // as answered by the log
-    std::optional<std::uint64_t> settled_after;  // reads with a higher number settle the append
-  };
-
   Outgoing send(std::deque<Pending>& from, bool is_chunk, TimePoint now);
   void back_to_queue(TimePoint retry_at);
 
--- a/src/arbutusdale/state/stream.cpp
+++ b/src/arbutusdale/state/stream.cpp
@@ -159,16 +159,17 @@
   ++m_stats.appends;
   m_stats.bytes_appended += outgoing->payload.size();
   const std::uint64_t attempt = outgoing->attempt;
-  m_log.append(m_options.name, std::move(outgoing->payload),
-               [this, attempt, alive = std::weak_ptr<bool>(m_alive)](Result<std::uint64_t> offset) {
-                 if (alive.expired()) {
-                   return;
-                 }
-                 m_stats.append_failures += offset ? 0 : 1;
-                 m_appends.answered(attempt, offset, m_read, m_now);
-                 m_poll_at = m_now;
-                 pump();
-               });
+  m_log.append(
+      m_options.name, std::move(outgoing->payload),
+      [this, attempt, alive = std::weak_ptr<bool>(m_alive)](const Result<std::uint64_t>& offset) {
+        if (alive.expired()) {
+          return;
+        }
+        m_stats.append_failures += offset ? 0 : 1;
+        m_appends.answered(attempt, offset, m_read, m_now);
+        m_poll_at = m_now;
+        pump();
+      });
 }
 
 void LogStream::run_outcomes() {
