--- a/include/arbutusdale/batch/ready_queue.hpp
+++ b/include/arbutusdale/batch/ready_queue.hpp
@@ -5,12 +5,12 @@
 #include "arbutusdale/core/clock.hpp"
 #include "arbutusdale/core/resources.hpp"
 
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 
 namespace arbutusdale::batch {
@@ -65,7 +65,9 @@
     TimePoint since;
     std::uint32_t job = 0;
 
-    friend auto operator<=>(const Waiting&, const Waiting&) = default;
+    friend bool operator<(const Waiting& a, const Waiting& b) {
+      return std::tie(a.since, a.job) < std::tie(b.since, b.job);
+    }
   };
   struct Team {
     TeamShare share;
--- a/include/arbutusdale/batch/runner_model.hpp
+++ b/include/arbutusdale/batch/runner_model.hpp
@@ -6,12 +6,12 @@
 #include "arbutusdale/batch/size_model.hpp"
 #include "arbutusdale/state/task_set.hpp"
 
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -26,7 +26,10 @@
   std::uint32_t task = 0;
   std::uint32_t attempt = 0;
 
-  friend auto operator<=>(const AttemptKey&, const AttemptKey&) = default;
+  friend bool operator==(const AttemptKey&, const AttemptKey&) = default;
+  friend bool operator<(const AttemptKey& a, const AttemptKey& b) {
+    return std::tie(a.job, a.task, a.attempt) < std::tie(b.job, b.task, b.attempt);
+  }
 };
 
 /// An attempt and the worker it was sent to.
--- a/src/arbutusdale/batch/runner_tasks.cpp
+++ b/src/arbutusdale/batch/runner_tasks.cpp
@@ -17,7 +17,7 @@
 constexpr std::uint32_t k_max_start_sends = 3;
 constexpr Duration k_command_retry = std::chrono::seconds{1};
 constexpr Duration k_miss_backoff = std::chrono::milliseconds{100};
-constexpr std::uint32_t k_max_miss_doublings = 4;
+constexpr std::uint32_t k_max_miss_doublings = 3;
 constexpr double k_rack_weight = 1.0;
 constexpr double k_packing_weight = 0.2;
 
@@ -199,7 +199,7 @@
   request.set_command(job.decl.command());
   request.set_expected_ms(job.sizes.expected_ms(job.decl.expected_ms()));
   m_agents.start(address_of(m_workers[ref.worker]), request,
-                 guarded([this, ref](AgentResult result) { on_started(ref, result); }));
+                 guarded([this, ref](const AgentResult& result) { on_started(ref, result); }));
 }
 
 void Runner::on_started(const AttemptRef& ref, const AgentResult& result) {
@@ -350,7 +350,7 @@
                               attempt.stop != StopReason::cancelled &&
                               attempt.stop != StopReason::duplicate);
   m_agents.stop(address_of(m_workers[ref.worker]), request,
-                guarded([this, ref](AgentResult result) { on_stop_answered(ref, result); }));
+                guarded([this, ref](const AgentResult& result) { on_stop_answered(ref, result); }));
 }
 
 void Runner::on_stop_answered(const AttemptRef& ref, const AgentResult& result) {
@@ -382,7 +382,7 @@
   const std::uint32_t percent = attempt.wanted_percent;
   request.set_throttle_percent(percent);
   m_agents.throttle(address_of(m_workers[ref.worker]), request,
-                    guarded([this, ref, percent](AgentResult result) {
+                    guarded([this, ref, percent](const AgentResult& result) {
                       Attempt* throttled = find_attempt(ref);
                       if (throttled == nullptr) {
                         return;
--- a/src/arbutusdale/batch/runner_workers.cpp
+++ b/src/arbutusdale/batch/runner_workers.cpp
@@ -161,7 +161,8 @@
   proto::platform::AcquireRequest request;
   request.set_token(m_options.term);
   const std::uint64_t number = ++m_report_counter;
-  m_agents.acquire(address_of(worker), request, guarded([this, slot, number](AgentResult result) {
+  m_agents.acquire(address_of(worker), request,
+                   guarded([this, slot, number](const AgentResult& result) {
                      on_acquired(slot, number, result);
                    }));
 }
@@ -195,7 +196,7 @@
   worker.report_in_flight = true;
   worker.next_report = m_now + m_options.report_interval;
   const std::uint64_t number = ++m_report_counter;
-  m_agents.report(address_of(worker), guarded([this, slot, number](AgentResult result) {
+  m_agents.report(address_of(worker), guarded([this, slot, number](const AgentResult& result) {
                     on_report(slot, number, result);
                   }));
 }
@@ -235,7 +236,7 @@
   request.set_token(m_options.term);
   request.set_lease_ms(static_cast<std::uint64_t>(
       std::chrono::duration_cast<std::chrono::milliseconds>(m_options.lease).count()));
-  m_agents.renew(address_of(worker), request, guarded([this, slot](AgentResult result) {
+  m_agents.renew(address_of(worker), request, guarded([this, slot](const AgentResult& result) {
                    Worker& renewed = m_workers[slot];
                    renewed.renew_in_flight = false;
                    if (!result) {
@@ -260,7 +261,7 @@
                 [&request](const auto& attempt) { *request.add_attempts() = attempt; });
   worker.to_acknowledge.erase(worker.to_acknowledge.begin(), end);
   m_agents.acknowledge(address_of(worker), request,
-                       guarded([this, slot, request](AgentResult result) {
+                       guarded([this, slot, request](const AgentResult& result) {
                          on_acknowledged(slot, request, result);
                        }));
 }
--- a/src/arbutusdale/batch/test_world.hpp
+++ b/src/arbutusdale/batch/test_world.hpp
@@ -52,17 +52,17 @@
 
   void acquire(const platform::AgentAddress& agent, const proto::platform::AcquireRequest& request,
                Reply done) override {
-    command(agent, request.token(), std::move(done), [this, agent](AgentReply& reply) {
+    command(agent, request.token(), done, [this, agent](AgentReply& reply) {
       *reply.mutable_report() = report_of(vm(agent.worker));
     });
   }
   void renew(const platform::AgentAddress& agent, const proto::platform::RenewRequest& request,
              Reply done) override {
-    command(agent, request.token(), std::move(done),
+    command(agent, request.token(), done,
             [this, agent](AgentReply&) { vm(agent.worker).commands.emplace_back("renew"); });
   }
   void report(const platform::AgentAddress& agent, Reply done) override {
-    command(agent, vm(agent.worker).token, std::move(done), [this, agent](AgentReply& reply) {
+    command(agent, vm(agent.worker).token, done, [this, agent](AgentReply& reply) {
       *reply.mutable_report() = report_of(vm(agent.worker));
     });
   }
@@ -74,17 +74,17 @@
       m_answers.push_back([done] { done(may_have_run(ErrorCode::connection_lost, "lost")); });
       return;
     }
-    command(agent, request.token(), std::move(done), [this, agent, request](AgentReply& reply) {
+    command(agent, request.token(), done, [this, agent, request](AgentReply& reply) {
       reply.set_code(run_start(vm(agent.worker), request));
     });
   }
   void checkpoint(const platform::AgentAddress& agent,
                   const proto::platform::AttemptRequest& request, Reply done) override {
-    command(agent, request.token(), std::move(done), [](AgentReply&) {});
+    command(agent, request.token(), done, [](AgentReply&) {});
   }
   void throttle(const platform::AgentAddress& agent, const proto::platform::AttemptRequest& request,
                 Reply done) override {
-    command(agent, request.token(), std::move(done), [this, agent, request](AgentReply& reply) {
+    command(agent, request.token(), done, [this, agent, request](AgentReply& reply) {
       FakeVm& target = vm(agent.worker);
       target.commands.push_back("throttle " + request.job());
       const auto found = target.attempts.find(key_of(request));
@@ -97,13 +97,13 @@
   }
   void stop(const platform::AgentAddress& agent, const proto::platform::AttemptRequest& request,
             Reply done) override {
-    command(agent, request.token(), std::move(done), [this, agent, request](AgentReply& reply) {
+    command(agent, request.token(), done, [this, agent, request](AgentReply& reply) {
       reply.set_code(run_stop(vm(agent.worker), request));
     });
   }
   void acknowledge(const platform::AgentAddress& agent,
                    const proto::platform::AcknowledgeRequest& request, Reply done) override {
-    command(agent, request.token(), std::move(done), [this, agent, request](AgentReply&) {
+    command(agent, request.token(), done, [this, agent, request](AgentReply&) {
       FakeVm& target = vm(agent.worker);
       for (const auto& attempt : request.attempts()) {
         target.commands.push_back("acknowledge " + attempt.job());
@@ -199,7 +199,7 @@
     attempt.set_state(AttemptState::ATTEMPT_STOPPED);
   }
 
-  void command(const platform::AgentAddress& agent, std::uint64_t token, Reply done,
+  void command(const platform::AgentAddress& agent, std::uint64_t token, const Reply& done,
                const std::function<void(AgentReply&)>& effect) {
     FakeVm& target = vm(agent.worker);
     if (!target.reachable) {
