--- /dev/null
+++ b/include/arbutusdale/batch/interference.hpp
@@ -0,0 +1,75 @@
+// Online estimate of how much batch work of a class slows a service on the same VM.
+#pragma once
+
+#include "arbutusdale/core/clock.hpp"
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace arbutusdale::batch {
+
+using ClassId = std::uint32_t;  // index of a job class in the runner's table
+
+/// Processors used by one job class on a worker, as a share of the worker's.
+struct ClassShare {
+  ClassId job_class = 0;
+  double share = 0;
+};
+
+/// One measurement of a service on one worker.
+struct ServiceSample {
+  double load = 0;       // busy share of the service's slots, 0 to 1
+  double p99_ratio = 0;  // p99 over its target
+  std::vector<ClassShare> shares;
+};
+
+/// Linear model of a service's p99 ratio: a base by load plus, for each job class, effect x share.
+/// Each coefficient has a variance of its own, shrinks it by what it explains (a Kalman filter with
+/// a diagonal covariance) and regains it over time, so that old knowledge fades.
+class InterferenceModel {
+ public:
+  /// Observations with a notable share after which a pair counts as known.
+  static constexpr double k_known_samples = 6;
+  /// Share of a VM below which a class may run beside a service without being known.
+  static constexpr double k_harmless_share = 0.05;
+
+  void observe(const std::string& service, const ServiceSample& sample, TimePoint now);
+
+  /// Expected rise of the p99 ratio per unit of share, never negative.
+  [[nodiscard]] double effect(const std::string& service, ClassId job_class) const;
+  [[nodiscard]] double deviation(const std::string& service, ClassId job_class) const;
+  /// Expected effect plus one deviation, for decisions that must not harm the service.
+  [[nodiscard]] double cautious_effect(const std::string& service, ClassId job_class) const;
+  /// False while too little has been observed of the pair; knowledge fades within hours.
+  [[nodiscard]] bool is_known(const std::string& service, ClassId job_class) const;
+  /// Expected p99 ratio at this load without batch work.
+  [[nodiscard]] double base(const std::string& service, double load) const;
+
+ private:
+  static constexpr std::size_t k_load_steps = 10;
+
+  struct Coefficient {
+    double mean = 0;
+    double variance = 0;
+    double samples = 0;
+    TimePoint updated{};
+  };
+  struct Service {
+    std::array<Coefficient, k_load_steps> base;
+    std::map<ClassId, Coefficient> effects;
+    bool started = false;
+  };
+
+  static std::size_t step_of(double load);
+  static void age(Coefficient& coefficient, double prior_variance, TimePoint now);
+  static Service& start(Service& service, TimePoint now);
+  static Coefficient& effect_of(Service& service, ClassId job_class, TimePoint now);
+  [[nodiscard]] const Coefficient* find(const std::string& service, ClassId job_class) const;
+
+  std::map<std::string, Service> m_services;
+};
+
+}  // namespace arbutusdale::batch
--- a/include/arbutusdale/batch/job_table.hpp
+++ b/include/arbutusdale/batch/job_table.hpp
@@ -33,6 +33,9 @@
   /// Id of the job; a job that no declaration names yet is added as undeclared.
   JobId intern(const std::string& name);
 
+  /// Index of a job class.
+  ClassId class_of(const std::string& name);
+
   /// Adds the job or takes over its changed declaration and assignment. Returns its id, or nothing
   /// when this shard has nothing to do for it.
   std::optional<JobId> declare(const proto::state::JobDecl& decl);
@@ -63,6 +66,7 @@
   std::uint32_t m_shard;
   std::vector<std::unique_ptr<Job>> m_jobs;
   std::unordered_map<std::string, JobId> m_ids;
+  std::unordered_map<std::string, ClassId> m_classes;
 };
 
 }  // namespace arbutusdale::batch
--- a/include/arbutusdale/batch/runner.hpp
+++ b/include/arbutusdale/batch/runner.hpp
@@ -3,6 +3,7 @@
 
 #include "arbutusdale/batch/job_table.hpp"
 #include "arbutusdale/batch/placement.hpp"
+#include "arbutusdale/batch/pressure.hpp"
 #include "arbutusdale/batch/ready_queue.hpp"
 #include "arbutusdale/batch/runner_model.hpp"
 #include "arbutusdale/batch/shard_runner.hpp"
@@ -112,11 +113,26 @@
   void recharge(const AttemptRef& ref, Attempt& attempt);
   void release(const AttemptRef& ref, Attempt& attempt);
 
+  // Services and health of workers (runner_services.cpp).
+  void set_share(Worker& worker, Attempt& attempt, double share);
+  void note_services(WorkerSlot slot, const proto::platform::WorkerReport& report);
+  void react(WorkerSlot slot);
+  void carry_out(WorkerSlot slot, const PressureDecision& decision);
+  void await_newer_measurement(Worker& worker) const;
+  [[nodiscard]] std::optional<double> interference_cost(WorkerSlot slot, const Job& job,
+                                                        const Resources& need) const;
+  [[nodiscard]] bool may_explore(const std::string& service, WorkerSlot slot, ClassId job_class,
+                                 double share_after) const;
+  void note_exploration(WorkerSlot slot, ClassId job_class);
+  [[nodiscard]] WorkerHealth::BlameOf blame_on(const Worker& worker) const;
+  void judge_health(WorkerSlot slot, const Attempt& attempt, const AttemptKey& key);
+  void restore_quarantine(Worker& worker) const;
+
   // Configuration (runner_config.cpp).
   void scan_declaration();
   void cancel_jobs();
   void cancel_job(JobId id);
-  void update_teams();
+  void update_shares();
   void refresh_queue(JobId id);
   void recount();
 
@@ -158,6 +174,12 @@
   std::set<std::string> m_drains;
   Resources m_largest;  // largest amounts that some worker can give
 
+  InterferenceModel m_interference;
+  std::map<std::string, double> m_targets_ms;  // p99 target by service
+  /// Workers on which a class of unknown effect runs beside a service to be observed.
+  std::map<std::pair<std::string, ClassId>, std::set<WorkerSlot>> m_exploring;
+  bool m_ruled_out_by_service = false;  // of the placement under way
+
   std::vector<AttemptRef> m_attention;
   std::vector<AttemptRef> m_unrecorded;
   std::uint32_t m_records_in_flight = 0;
--- a/include/arbutusdale/batch/runner_model.hpp
+++ b/include/arbutusdale/batch/runner_model.hpp
@@ -2,8 +2,10 @@
 // change it are in the runner.
 #pragma once
 
+#include "arbutusdale/batch/interference.hpp"
 #include "arbutusdale/batch/shard_runner.hpp"
 #include "arbutusdale/batch/size_model.hpp"
+#include "arbutusdale/batch/worker_health.hpp"
 #include "arbutusdale/state/task_set.hpp"
 
 #include <cstdint>
@@ -79,6 +81,8 @@
   Resources committed;  // named in the start command
   Resources charged_amount;
   Resources used;
+  ClassId job_class = 0;  // as charged
+  double share = 0;       // of the worker's processors, as charged
   std::uint64_t run_ms = 0;
   TimePoint started{};
   TimePoint next_command{};  // earliest time of the next command, after a failed one
@@ -94,7 +98,7 @@
 
 /// Evidence of a job's tries in this shard, to tell bad jobs from bad workers.
 struct JobTries {
-  std::uint64_t succeeded = 0;
+  std::set<std::string> succeeded_workers;
   std::set<std::string> failed_workers;
 };
 
@@ -102,6 +106,7 @@
   std::string name;
   proto::state::JobDecl decl;
   SizeModel sizes;
+  ClassId job_class = 0;
   bool declared = false;  // false for a job known only from a report
   bool cancelled = false;
   Resources declared_size;
@@ -162,6 +167,9 @@
   std::map<AttemptKey, Attempt> attempts;
   std::vector<proto::platform::AttemptRequest> to_acknowledge;
   std::vector<ServiceState> services;
+  std::map<ClassId, double> class_shares;     // shares of the attempts charged now
+  std::map<ClassId, double> measured_shares;  // shares at the last measurement
+  WorkerHealth health;
 };
 
 }  // namespace arbutusdale::batch
--- a/src/arbutusdale/batch/job_table.cpp
+++ b/src/arbutusdale/batch/job_table.cpp
@@ -42,10 +42,15 @@
     m_jobs.push_back(std::make_unique<Job>());
     m_jobs.back()->name = name;
     m_jobs.back()->decl.set_name(name);
+    m_jobs.back()->job_class = class_of(name);
   }
   return found->second;
 }
 
+ClassId JobTable::class_of(const std::string& name) {
+  return m_classes.try_emplace(name, static_cast<ClassId>(m_classes.size())).first->second;
+}
+
 std::optional<JobId> JobTable::declare(const proto::state::JobDecl& decl) {
   const state::TaskSet assigned =
       state::assigned_tasks(m_global.declaration(), decl, m_domain, m_domain_name, m_shard);
@@ -56,6 +61,7 @@
   Job& entry = job(id);
   entry.decl = decl;
   entry.declared = true;
+  entry.job_class = class_of(decl.job_class().empty() ? decl.name() : decl.job_class());
   entry.declared_size = platform::from_proto(decl.resources());
   const std::uint64_t hash = hash_of(assigned);
   if (hash != entry.assigned_hash) {
--- a/src/arbutusdale/batch/runner_config.cpp
+++ b/src/arbutusdale/batch/runner_config.cpp
@@ -23,7 +23,7 @@
   if (version_changed) {
     m_config_seen = true;
     m_seen_version = m_global.version();
-    update_teams();
+    update_shares();
     update_drains();
   }
   if (version_changed || m_domain.moves().size() != m_seen_moves) {
@@ -32,7 +32,7 @@
   }
 }
 
-void Runner::update_teams() {
+void Runner::update_shares() {
   const proto::state::Declaration& declaration = m_global.declaration();
   std::uint64_t total = 0;
   std::uint64_t own = 0;
@@ -54,6 +54,10 @@
     }
     m_queue.set_team(team.name(), share);
   }
+  m_targets_ms.clear();
+  for (const proto::state::ServiceDecl& service : declaration.services()) {
+    m_targets_ms[service.name()] = service.p99_target_ms();
+  }
 }
 
 void Runner::cancel_jobs() {
@@ -142,6 +146,7 @@
   m_stats.blocked = m_takeover_complete ? 0 : m_stats.pending;
   m_stats.workers_acquired = 0;
   m_stats.workers_unreachable = 0;
+  m_stats.quarantined = 0;
   Resources capacity;
   for (const Worker& worker : m_workers) {
     if (worker.access == Access::gone) {
@@ -149,6 +154,8 @@
     }
     m_stats.workers_acquired += worker.access == Access::acquired ? 1 : 0;
     m_stats.workers_unreachable += worker.reachable ? 0 : 1;
+    const HealthState health = worker.health.state(m_now, blame_on(worker));
+    m_stats.quarantined += health == HealthState::quarantined ? 1 : 0;
     capacity = plus(capacity, worker.capacity);
   }
   m_queue.set_capacity(capacity);
--- a/src/arbutusdale/batch/runner_progress.cpp
+++ b/src/arbutusdale/batch/runner_progress.cpp
@@ -12,7 +12,9 @@
 constexpr Duration k_flush_interval = std::chrono::seconds{1};
 // Least time between urgent flushes; keeps the appends of one daemon bounded.
 constexpr Duration k_urgent_flush_interval = std::chrono::milliseconds{250};
-constexpr std::size_t k_max_attempts_per_record = 1'000;
+// Notes of at most 200 bytes keep a record of 500 attempts well under its limit of 256 KiB.
+constexpr std::size_t k_max_attempts_per_record = 500;
+constexpr std::size_t k_max_note_bytes = 200;
 constexpr std::uint32_t k_max_records_in_flight = 4;
 // Tries of a task over all workers, in multiples of its limit of distinct failing workers.
 constexpr std::uint32_t k_max_tries_factor = 3;
@@ -110,7 +112,6 @@
 // from starting again before that.
 void Runner::end_as(const AttemptRef& ref, Outcome outcome, std::string note) {
   Attempt& attempt = *find_attempt(ref);
-  Job& job = m_jobs.job(ref.key.job);
   release(ref, attempt);
   attempt.phase = AttemptPhase::ended;
   const bool ended_by_stop = outcome == Outcome::lost || outcome == Outcome::evicted;
@@ -118,12 +119,10 @@
   attempt.note = std::move(note);
   switch (attempt.outcome) {
     case Outcome::succeeded:
-      ++job.tries.succeeded;
       ++m_stats.succeeded;
       break;
     case Outcome::failed_try:
     case Outcome::failed:
-      job.tries.failed_workers.insert(m_workers[ref.worker].info.id);
       ++m_stats.failed;
       break;
     case Outcome::evicted:
@@ -135,6 +134,7 @@
     default:
       break;
   }
+  judge_health(ref.worker, attempt, ref.key);
   if (may_acknowledge(attempt)) {
     queue_acknowledgement(ref);
   }
@@ -144,7 +144,7 @@
     return;
   }
   const bool restarts = attempt.outcome != Outcome::succeeded && attempt.outcome != Outcome::failed;
-  m_flush_urgent |= restarts && job.decl.urgent();
+  m_flush_urgent |= restarts && m_jobs.job(ref.key.job).decl.urgent();
   m_unrecorded.push_back(ref);
 }
 
@@ -185,7 +185,7 @@
   note.set_attempt(ref.key.attempt);
   note.set_worker(m_workers[ref.worker].info.id);
   note.set_checkpoint(attempt.checkpoint);
-  note.set_note(attempt.note);
+  note.set_note(attempt.note.substr(0, k_max_note_bytes));
   switch (attempt.outcome) {
     case Outcome::failed_try:
       *progress.add_failed_tries() = std::move(note);
--- a/src/arbutusdale/batch/runner_reports.cpp
+++ b/src/arbutusdale/batch/runner_reports.cpp
@@ -81,7 +81,14 @@
       note_missing({slot, key}, *attempt, number);
     }
   }
+  const bool newer = !same_boot || report.measured_at_ms() > worker.measured_at_ms;
   worker.measured_at_ms = report.measured_at_ms();
+  worker.act_after_measured_ms = same_boot ? worker.act_after_measured_ms : 0;
+  if (newer) {
+    worker.measured_received = m_now;
+    note_services(slot, report);
+    react(slot);
+  }
   stop_drained(slot);
   update_node(slot);
 }
--- a/src/arbutusdale/batch/runner_tasks.cpp
+++ b/src/arbutusdale/batch/runner_tasks.cpp
@@ -29,6 +29,12 @@
   return 1.0 - static_cast<double>(left) / static_cast<double>(node.capacity.cpu_millis);
 }
 
+double share_of(const Resources& part, const Resources& whole) {
+  return whole.cpu_millis == 0
+             ? 0
+             : static_cast<double>(part.cpu_millis) / static_cast<double>(whole.cpu_millis);
+}
+
 }  // namespace
 
 Attempt* Runner::find_attempt(const AttemptRef& ref) {
@@ -61,6 +67,8 @@
   attempt.charged_amount = attempt.committed;
   worker.occupied = plus(worker.occupied, attempt.committed);
   m_queue.charge(job.decl.team(), attempt.committed);
+  attempt.job_class = job.job_class;
+  set_share(worker, attempt, share_of(attempt.committed, worker.capacity));
   ++job.racks[worker.info.rack];
   ++m_stats.running;
   update_node(ref.worker);
@@ -78,6 +86,11 @@
                          attempt.committed.accelerators};
   worker.occupied = plus(minus(worker.occupied, attempt.charged_amount), amount);
   attempt.charged_amount = amount;
+  // Measured use is what interferes; before the first measurement the committed amount stands.
+  const double share = is_zero(attempt.used) ? share_of(attempt.committed, worker.capacity) *
+                                                   attempt.throttle_percent / 100.0
+                                             : share_of(attempt.used, worker.capacity);
+  set_share(worker, attempt, share);
 }
 
 void Runner::release(const AttemptRef& ref, Attempt& attempt) {
@@ -88,6 +101,7 @@
   Worker& worker = m_workers[ref.worker];
   Job& job = m_jobs.job(ref.key.job);
   worker.occupied = minus(worker.occupied, attempt.charged_amount);
+  set_share(worker, attempt, 0);
   m_queue.release(job.decl.team(), attempt.committed);
   if (--job.racks[worker.info.rack] == 0) {
     job.racks.erase(worker.info.rack);
@@ -136,6 +150,7 @@
   for (const auto& [rack, count] : job.racks) {
     running += count;
   }
+  m_ruled_out_by_service = false;
   const bool avoid = task.failed_workers.size() < m_stats.workers_acquired;
   const PlacementCost cost = [&](std::uint32_t slot) -> std::optional<double> {
     const Worker& worker = m_workers[slot];
@@ -143,9 +158,15 @@
     if (avoid && std::find(failed.begin(), failed.end(), worker.info.id) != failed.end()) {
       return std::nullopt;
     }
+    const std::optional<double> interference = interference_cost(slot, job, need);
+    if (!interference) {
+      m_ruled_out_by_service = true;
+      return std::nullopt;
+    }
     const auto rack = job.racks.find(worker.info.rack);
     const double crowding = rack == job.racks.end() ? 0 : rack->second / running;
-    return k_rack_weight * crowding - k_packing_weight * fill_after(need, m_placement.node(slot));
+    return *interference + k_rack_weight * crowding -
+           k_packing_weight * fill_after(need, m_placement.node(slot));
   };
   return m_placement.choose(need, cost, m_options.seeded_fault != SeededFault::ignore_capacity);
 }
@@ -161,7 +182,8 @@
   const std::optional<WorkerSlot> slot = choose_worker(id, need, taken->state);
   if (!slot) {
     JobTable::put_back(job, taken->task, std::move(taken->state));
-    job.reason = WaitReason::no_worker_fits;
+    job.reason =
+        m_ruled_out_by_service ? WaitReason::services_under_pressure : WaitReason::no_worker_fits;
     const std::uint32_t doublings = std::min(job.misses++, k_max_miss_doublings);
     m_queue.defer(id, m_now + k_miss_backoff * (job.decl.urgent() ? 1 : 1 << doublings));
     return false;
@@ -176,6 +198,7 @@
   attempt.started = m_now;
   job.live.insert_or_assign(ref.key.task, ref);
   charge(ref, attempt);
+  note_exploration(*slot, job.job_class);
   m_queue.started(id, m_now);
   refresh_queue(id);
   ++m_stats.started;
@@ -374,6 +397,9 @@
   attempt->start_may_arrive = false;
   attempt->missing_since.reset();
   m_workers[ref.worker].next_report = m_now;
+  if (attempt->stop == StopReason::evicted) {
+    await_newer_measurement(m_workers[ref.worker]);
+  }
 }
 
 void Runner::send_throttle(const AttemptRef& ref, Attempt& attempt) {
@@ -388,6 +414,7 @@
                         return;
                       }
                       throttled->command_in_flight = false;
+                      await_newer_measurement(m_workers[ref.worker]);
                       throttled->next_command = m_now + k_command_retry;
                       if (!result) {
                         need_attention(ref, *throttled);
--- a/src/arbutusdale/batch/runner_workers.cpp
+++ b/src/arbutusdale/batch/runner_workers.cpp
@@ -31,6 +31,7 @@
     m_workers.back().info = info;
     m_workers.back().capacity = info.capacity;
     update_reserve(m_workers.back());
+    restore_quarantine(m_workers.back());
   }
   return found->second;
 }
@@ -314,8 +315,18 @@
 }
 
 bool Runner::takes_starts(const Worker& worker) const {
-  return worker.access == Access::acquired && worker.listed && worker.reachable &&
-         !worker.draining && !worker.refuses_starts && !worker.full;
+  if (worker.access != Access::acquired || !worker.listed || !worker.reachable || worker.draining ||
+      worker.refuses_starts || worker.full) {
+    return false;
+  }
+  switch (worker.health.state(m_now, blame_on(worker))) {
+    case HealthState::healthy:
+      return true;
+    case HealthState::quarantined:
+      return false;
+    default:
+      return is_zero(worker.occupied);
+  }
 }
 
 void Runner::update_node(WorkerSlot slot) {
