--- a/src/arbutusdale/batch/test_world.hpp
+++ b/src/arbutusdale/batch/test_world.hpp
@@ -459,7 +459,7 @@
     now += k_tick;
     ++m_steps;
     for (const std::string& id : listed) {
-      agents.vm(id).measured_ms += 50;
+      agents.vm(id).measured_ms += freeze_measurements ? 0 : 50;
     }
     if (m_steps % 20 == 0) {
       list();
@@ -485,6 +485,7 @@
   FakeAgents agents;
   ShardOptions options;
   std::set<std::string> listed;
+  bool freeze_measurements = false;
   TimePoint now{std::chrono::seconds{1'000}};
   std::unique_ptr<ShardRunner> runner;
 
