Add the key table for idempotency keys

Entry, owner and witness of a key share one store per daemon. A grant is stored by two daemons before its call is sent, a promise after a query keeps lower terms from granting anything, and a key is freed only by a message that names the grant.

An unknown key may run after a takeover when at most one earlier incarnation is lost and that one had pledged to run no call without a witness. A stricter rule, in doubt after any loss, would refuse all new keys of a shard for ten minutes after each crash of its owner.

--- a/include/arbutusdale/routing/key_table.hpp
+++ b/include/arbutusdale/routing/key_table.hpp
@@ -21,6 +21,7 @@
   Duration decision_timeout = std::chrono::seconds{2};  // waiting for the owner or the witness
   std::size_t max_stored_answer_bytes = 65'536;
   std::size_t max_keys = 100'000;
+  std::uint64_t incarnation = 0;  // grows with every start; tells request ids of restarts apart
 };
 
 /// A keyed call.
@@ -36,7 +37,7 @@
   done,          ///< an earlier call ended; `stored_answer` holds its answer when it was kept
   may_have_run,  ///< an earlier call with this key may have run; never sent again
   mismatch,      ///< the key was used for another call
-  overloaded,    ///< the table is full; nothing was sent
+  overloaded,    ///< the table is full; this call is not sent, an earlier one may have run
 };
 
 std::string_view to_string(KeyDecision decision);
@@ -51,6 +52,7 @@
   std::string daemon;
   std::string address;
   bool alive = false;
+  std::uint64_t incarnation = 0;  // an answer of another incarnation does not count
 };
 
 /// Key table of one daemon: entry, owner and witness. Not thread-safe.
@@ -72,6 +74,8 @@
     std::uint64_t term = 0;
   };
   virtual void set_shards(const std::vector<ShardView>& shards, TimePoint now) = 0;
+  /// Other daemons whose incarnation is alive by the domain's stream, heard of or not. Calls run
+  /// without a witness only while this list is empty.
   virtual void set_live(const std::vector<std::string>& daemons) = 0;
 
   /// This daemon has become the owner of a shard. `previous` lists every other incarnation that
--- /dev/null
+++ b/src/arbutusdale/routing/key_entry.cpp
@@ -0,0 +1,271 @@
+// The key table as entry: asks for permission, and reports the outcome.
+#include "arbutusdale/core/hash.hpp"
+
+#include <algorithm>
+
+#include "key_table_impl.hpp"
+
+namespace arbutusdale::routing {
+namespace {
+
+constexpr Duration k_resend_interval = std::chrono::milliseconds{200};
+constexpr Duration k_done_resend_time = std::chrono::seconds{60};
+
+KeyDecision decision_of(proto::peer::KeyReply::Decision decision) {
+  switch (decision) {
+    case proto::peer::KeyReply::IN_PROGRESS:
+      return KeyDecision::in_progress;
+    case proto::peer::KeyReply::DONE:
+      return KeyDecision::done;
+    case proto::peer::KeyReply::MISMATCH:
+      return KeyDecision::mismatch;
+    case proto::peer::KeyReply::OVERLOADED:
+      return KeyDecision::overloaded;
+    default:
+      return KeyDecision::may_have_run;
+  }
+}
+
+proto::peer::PeerMessage forward_message(const KeyId& id, std::uint64_t fingerprint,
+                                         std::uint64_t request_id, std::uint32_t shard,
+                                         std::uint64_t term) {
+  proto::peer::PeerMessage message;
+  auto* forward = message.mutable_key_forward();
+  forward->set_request_id(request_id);
+  forward->set_service(id.service);
+  forward->set_key(id.key);
+  forward->set_fingerprint(fingerprint);
+  forward->set_shard(shard);
+  forward->set_term(term);
+  return message;
+}
+
+}  // namespace
+
+void KeyTableImpl::request(const KeyedCall& call, TimePoint now, Decided decided) {
+  observe(now);
+  if (m_closing || is_full()) {
+    decided(KeyAnswer{m_closing ? KeyDecision::may_have_run : KeyDecision::overloaded, {}});
+    return;
+  }
+  const std::uint64_t request_id = next_id();
+  auto& pending = m_pending[request_id];
+  pending.id = KeyId{call.service, call.key};
+  pending.fingerprint = call.fingerprint;
+  pending.decided = std::move(decided);
+  pending.shard = shard_of(pending.id);
+  pending.started = now;
+  drive(request_id, now);
+}
+
+/// Asks the current owner, again when it was asked before.
+void KeyTableImpl::drive(std::uint64_t request_id, TimePoint now) {
+  auto& pending = m_pending.at(request_id);
+  pending.next_send = now + k_resend_interval;
+  if (owns(pending.shard)) {
+    drive_as_owner(request_id, now);
+    return;
+  }
+  if (pending.shard >= m_shards.size()) {
+    return;
+  }
+  const auto& view = m_shards[pending.shard];
+  if (view.daemon.empty() || view.daemon == m_options.daemon || view.term < floor(pending.shard)) {
+    return;
+  }
+  pending.several_terms = pending.several_terms || (pending.term != 0 && pending.term != view.term);
+  pending.witnessing = false;
+  pending.term = view.term;
+  send(view.daemon,
+       forward_message(pending.id, pending.fingerprint, request_id, pending.shard, pending.term));
+}
+
+void KeyTableImpl::drive_as_owner(std::uint64_t request_id, TimePoint now) {
+  auto& pending = m_pending.at(request_id);
+  const auto decision = decide(pending.id, pending.fingerprint, request_id, m_options.daemon, now);
+  if (!decision) {
+    return;
+  }
+  if (decision->decision != Reply::RUN) {
+    Reply reply;
+    reply.set_decision(decision->decision);
+    reply.set_stored_answer(decision->answer);
+    refuse(request_id, reply, now);
+    return;
+  }
+  const std::uint64_t term = m_owned.at(pending.shard).term();
+  pending.several_terms = pending.several_terms || (pending.term != 0 && pending.term != term);
+  pending.term = term;
+  pending.witnessing = true;
+  if (!m_live.empty()) {
+    ask_witness(request_id, pending);
+    return;
+  }
+  if (m_alone_uncertain) {
+    return;
+  }
+  m_unwitnessed[request_id] = pending.id;
+  accept_run(request_id, now);
+}
+
+/// Asks one live daemon after the other, starting at one that depends on the key.
+void KeyTableImpl::ask_witness(std::uint64_t request_id, Pending& pending) {
+  const std::uint64_t start = hash_of(pending.id);
+  const auto& witness = m_live[(start + pending.asked++) % m_live.size()];
+  auto* known = m_store.find(pending.id);
+  if (known != nullptr && std::ranges::find(known->witnesses, witness) == known->witnesses.end()) {
+    known->witnesses.push_back(witness);
+  }
+  auto message =
+      forward_message(pending.id, pending.fingerprint, request_id, pending.shard, pending.term);
+  message.mutable_key_forward()->set_witness_only(true);
+  send(witness, std::move(message));
+}
+
+void KeyTableImpl::record_acknowledged(std::uint64_t request_id, const std::string& from) {
+  const auto sent = m_outbox.find(request_id);
+  if (sent == m_outbox.end() || (!sent->second.to.empty() && sent->second.to != from)) {
+    return;
+  }
+  m_outbox.erase(sent);
+  if (request_id != m_registration) {
+    return;
+  }
+  for (const auto registered : m_registering) {
+    m_unwitnessed.erase(registered);
+  }
+  m_registration = 0;
+}
+
+void KeyTableImpl::receive_reply(const Reply& reply, const std::string& from, TimePoint now) {
+  if (reply.decision() == Reply::RECORDED) {
+    record_acknowledged(reply.request_id(), from);
+    return;
+  }
+  const auto found = m_pending.find(reply.request_id());
+  if (found == m_pending.end() || reply.decision() == Reply::NOT_OWNER) {
+    return;  // decided before, or asked again soon
+  }
+  const auto& pending = found->second;
+  const bool current = reply.term() == pending.term && reply.term() >= floor(pending.shard);
+  const bool grants = reply.decision() == Reply::RUN || reply.decision() == Reply::WITNESSED;
+  if (!grants) {
+    if (!pending.witnessing) {
+      refuse(reply.request_id(), reply, now);
+    }
+    return;
+  }
+  const bool by_witness = reply.decision() == Reply::WITNESSED;
+  if (!current || by_witness != pending.witnessing || (by_witness && !owns(pending.shard))) {
+    return;
+  }
+  accept_run(reply.request_id(), now);
+}
+
+/// Takes the permission to run, unless this daemon knows that the key may have run.
+void KeyTableImpl::accept_run(std::uint64_t request_id, TimePoint now) {
+  const auto& pending = m_pending.at(request_id);
+  const auto* known = m_store.find(pending.id);
+  const bool same_grant = known != nullptr && known->request_id == request_id && !known->contested;
+  // A record of this grant that was freed can only be a fault, which must not run the call.
+  const bool other_grant = known != nullptr && !known->freed && !same_grant;
+  if (other_grant || (same_grant && known->freed)) {
+    abandon(request_id, now);
+    return;
+  }
+  if (known == nullptr || known->freed) {
+    KnownKey record;
+    record.fingerprint = pending.fingerprint;
+    record.term = pending.term;
+    record.request_id = request_id;
+    record.entry = m_options.daemon;
+    m_store.add(pending.id, std::move(record), now);
+  }
+  conclude(request_id, KeyAnswer{KeyDecision::run, {}});
+}
+
+void KeyTableImpl::refuse(std::uint64_t request_id, const Reply& reply, TimePoint now) {
+  const auto& pending = m_pending.at(request_id);
+  if (pending.several_terms || pending.witnessing) {
+    send_done(pending.id, request_id, true, {}, now);
+  }
+  conclude(request_id, KeyAnswer{decision_of(reply.decision()), reply.stored_answer()});
+}
+
+void KeyTableImpl::conclude(std::uint64_t request_id, KeyAnswer answer) {
+  const auto found = m_pending.find(request_id);
+  const auto decided = std::move(found->second.decided);
+  m_pending.erase(found);
+  decided(std::move(answer));
+}
+
+/// Gives a request up. An owner that has granted it, or will, learns that it was not run.
+void KeyTableImpl::abandon(std::uint64_t request_id, TimePoint now) {
+  const auto id = m_pending.at(request_id).id;
+  send_done(id, request_id, true, {}, now);
+  conclude(request_id, KeyAnswer{KeyDecision::may_have_run, {}});
+}
+
+void KeyTableImpl::expire_pending(TimePoint now) {
+  std::vector<std::uint64_t> expired;
+  std::vector<std::uint64_t> due;
+  for (const auto& [request_id, pending] : m_pending) {
+    if (now - pending.started >= m_options.decision_timeout) {
+      expired.push_back(request_id);
+    } else if (now >= pending.next_send) {
+      due.push_back(request_id);
+    }
+  }
+  for (const auto request_id : expired) {
+    abandon(request_id, now);
+  }
+  for (const auto request_id : due) {
+    if (m_pending.contains(request_id)) {
+      drive(request_id, now);
+    }
+  }
+}
+
+void KeyTableImpl::finish(const KeyedCall& call, bool not_run, std::string answer, TimePoint now) {
+  observe(now);
+  const KeyId id{call.service, call.key};
+  const auto* known = m_store.find(id);
+  if (known == nullptr || known->entry != m_options.daemon || known->done || known->freed) {
+    return;
+  }
+  if (answer.size() > m_options.max_stored_answer_bytes) {
+    answer.clear();
+  }
+  send_done(id, known->request_id, not_run, std::move(answer), now);
+}
+
+/// Records the outcome here, and passes it on to the owner and to witnesses.
+void KeyTableImpl::send_done(const KeyId& id, std::uint64_t request_id, bool not_run,
+                             std::string answer, TimePoint now) {
+  const std::uint32_t shard = shard_of(id);
+  const bool own = owns(shard);
+  proto::peer::PeerMessage message;
+  auto* done = message.mutable_key_done();
+  done->set_service(id.service);
+  done->set_key(id.key);
+  done->set_shard(shard);
+  done->set_not_run(not_run);
+  done->set_request_id(request_id);
+  if (auto* known = m_store.find(id); known != nullptr && known->request_id == request_id) {
+    done->set_term(known->term);
+    for (const auto& witness : known->witnesses) {
+      send(witness, message);
+    }
+    m_store.finish(id, request_id, not_run, own ? answer : std::string{}, now);
+  }
+  if (not_run) {
+    m_unwitnessed.erase(request_id);
+  }
+  if (own) {
+    return;
+  }
+  done->set_stored_answer(std::move(answer));
+  post(request_id, Outgoing{std::move(message), {}, shard, now, now + k_done_resend_time}, now);
+}
+
+}  // namespace arbutusdale::routing
--- /dev/null
+++ b/src/arbutusdale/routing/key_owner.cpp
@@ -0,0 +1,126 @@
+// The key table as owner of key shards and as witness.
+#include "key_table_impl.hpp"
+
+namespace arbutusdale::routing {
+
+bool KeyTableImpl::owns(std::uint32_t shard) const {
+  const auto owned = m_owned.find(shard);
+  return owned != m_owned.end() && owned->second.term() >= floor(shard) && !m_view_stale &&
+         !m_closing;
+}
+
+std::optional<KeyTableImpl::OwnDecision> KeyTableImpl::decide_known(
+    const KnownKey& known, std::uint64_t fingerprint, std::uint64_t request_id,
+    const std::string& entry) const {
+  const bool same_grant = known.request_id == request_id && known.entry == entry;
+  if (known.fingerprint != 0 && known.fingerprint != fingerprint) {
+    return OwnDecision{Reply::MISMATCH, {}};
+  }
+  if (known.done) {
+    return OwnDecision{Reply::DONE, known.answer};
+  }
+  // The entry asks again only while it has not accepted a grant for this request.
+  if (same_grant && !known.contested) {
+    return OwnDecision{Reply::RUN, {}};
+  }
+  const bool running = known.entry == m_options.daemon || is_live(known.entry);
+  return OwnDecision{running ? Reply::IN_PROGRESS : Reply::MAY_HAVE_RUN, {}};
+}
+
+// Returns nothing while the answers of an earlier term are awaited; the entry asks again.
+std::optional<KeyTableImpl::OwnDecision> KeyTableImpl::decide(const KeyId& id,
+                                                              std::uint64_t fingerprint,
+                                                              std::uint64_t request_id,
+                                                              const std::string& entry,
+                                                              TimePoint now) {
+  const auto* known = m_store.find(id);
+  if (known != nullptr && !known->freed) {
+    return decide_known(*known, fingerprint, request_id, entry);
+  }
+  if (known != nullptr && known->request_id == request_id) {
+    return std::nullopt;  // a late copy of a request that its entry has given up
+  }
+  const auto& takeover = m_owned.at(shard_of(id));
+  if (!takeover.is_ready(now, m_options.decision_timeout)) {
+    return std::nullopt;
+  }
+  const bool resharded = m_resharded && now - *m_resharded < m_options.retention;
+  if (resharded || !takeover.unknown_may_run(now, m_options.retention)) {
+    return OwnDecision{Reply::MAY_HAVE_RUN, {}};
+  }
+  // A call of this entry had its place reserved when it was taken.
+  if (entry != m_options.daemon && is_full()) {
+    return OwnDecision{Reply::OVERLOADED, {}};
+  }
+  KnownKey record;
+  record.fingerprint = fingerprint;
+  record.term = takeover.term();
+  record.request_id = request_id;
+  record.entry = entry;
+  m_store.add(id, std::move(record), now);
+  return OwnDecision{Reply::RUN, {}};
+}
+
+void KeyTableImpl::receive_forward(const proto::peer::KeyForward& forward, const std::string& from,
+                                   TimePoint now) {
+  Reply reply;
+  reply.set_request_id(forward.request_id());
+  reply.set_term(forward.term());
+  if (forward.witness_only()) {
+    reply.set_decision(register_witness(forward, from, now));
+    send_reply(from, std::move(reply));
+    return;
+  }
+  const KeyId id{forward.service(), forward.key()};
+  const std::uint32_t shard = shard_of(id);
+  if (!owns(shard) || m_owned.at(shard).term() != forward.term() || shard != forward.shard()) {
+    reply.set_decision(Reply::NOT_OWNER);
+    send_reply(from, std::move(reply));
+    return;
+  }
+  auto decision = decide(id, forward.fingerprint(), forward.request_id(), from, now);
+  if (!decision) {
+    return;
+  }
+  reply.set_decision(decision->decision);
+  reply.set_stored_answer(std::move(decision->answer));
+  send_reply(from, std::move(reply));
+}
+
+KeyTableImpl::Reply::Decision KeyTableImpl::register_witness(const proto::peer::KeyForward& forward,
+                                                             const std::string& from,
+                                                             TimePoint now) {
+  const KeyId id{forward.service(), forward.key()};
+  const std::uint32_t shard = shard_of(id);
+  if (m_closing || shard != forward.shard() || forward.term() < floor(shard)) {
+    return Reply::NOT_OWNER;
+  }
+  if (m_store.find(id) == nullptr && is_full()) {
+    return Reply::OVERLOADED;
+  }
+  KnownKey record;
+  record.fingerprint = forward.fingerprint();
+  record.term = forward.term();
+  record.request_id = forward.request_id();
+  record.entry = from;
+  m_store.add(id, std::move(record), now);
+  return Reply::WITNESSED;
+}
+
+void KeyTableImpl::receive_done(const proto::peer::KeyDone& done, const std::string& from,
+                                TimePoint now) {
+  const KeyId id{done.service(), done.key()};
+  if (m_store.find(id) != nullptr || !is_full()) {
+    m_store.finish(id, done.request_id(), done.not_run(), done.stored_answer(), now);
+  }
+  if (!owns(shard_of(id))) {
+    return;
+  }
+  Reply reply;
+  reply.set_request_id(done.request_id());
+  reply.set_decision(Reply::RECORDED);
+  reply.set_term(done.term());
+  send_reply(from, std::move(reply));
+}
+
+}  // namespace arbutusdale::routing
--- /dev/null
+++ b/src/arbutusdale/routing/key_table_impl.hpp
@@ -0,0 +1,152 @@
+// Key table of one daemon. The parts of a daemon as entry, owner and witness share one store.
+//
+// Safety rests on these rules:
+// - Each grant is stored by two daemons before its call is sent (see key_takeover.cpp).
+// - Whoever has answered a query below term T, or has seen term T in the stream, takes part in no
+//   grant of a lower term: the owner grants none, the entry accepts none, the witness registers
+//   none.
+// - Only a message that names the grant's request id frees a key.
+#pragma once
+
+#include "arbutusdale/routing/key_table.hpp"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "key_store.hpp"
+#include "key_takeover.hpp"
+
+namespace arbutusdale::routing {
+
+class KeyTableImpl final : public KeyTable {
+ public:
+  KeyTableImpl(KeyOptions options, Sink sink);
+
+  void set_shards(const std::vector<ShardView>& shards, TimePoint now) override;
+  void set_live(const std::vector<std::string>& daemons) override;
+  void begin_term(std::uint32_t shard, std::uint64_t term, const std::vector<TermWitness>& previous,
+                  TimePoint now) override;
+  void request(const KeyedCall& call, TimePoint now, Decided decided) override;
+  void finish(const KeyedCall& call, bool not_run, std::string answer, TimePoint now) override;
+  void receive(const proto::peer::PeerMessage& message, TimePoint now) override;
+  void tick(TimePoint now) override;
+  void hand_over(TimePoint now) override;
+  [[nodiscard]] std::size_t size() const override { return m_store.size(); }
+
+ private:
+  using Reply = proto::peer::KeyReply;
+
+  /// A call of this entry that waits for its decision.
+  struct Pending {
+    KeyId id;
+    std::uint64_t fingerprint = 0;
+    Decided decided;
+    std::uint32_t shard = 0;
+    std::uint64_t term = 0;  // under which it was asked last; 0 when not yet
+    TimePoint started{};
+    TimePoint next_send{};
+    std::uint32_t asked = 0;     // messages sent
+    bool witnessing = false;     // granted by this daemon, waits for a witness
+    bool several_terms = false;  // an earlier owner may have recorded a grant
+  };
+  /// A message that is sent again until it is acknowledged.
+  struct Outgoing {
+    proto::peer::PeerMessage message;
+    std::string to;  // empty: the current owner of the shard
+    std::uint32_t shard = 0;
+    TimePoint next_send{};
+    TimePoint until{};
+  };
+  /// Keys received from an incarnation that leaves. It sends one list only.
+  struct Handover {
+    std::set<std::uint32_t> parts;
+    bool complete = false;
+    TimePoint seen{};
+  };
+  struct OwnDecision {
+    Reply::Decision decision = Reply::MAY_HAVE_RUN;
+    std::string answer;
+  };
+
+  // key_entry.cpp
+  void drive(std::uint64_t request_id, TimePoint now);
+  void record_acknowledged(std::uint64_t request_id, const std::string& from);
+  void drive_as_owner(std::uint64_t request_id, TimePoint now);
+  void ask_witness(std::uint64_t request_id, Pending& pending);
+  void conclude(std::uint64_t request_id, KeyAnswer answer);
+  void abandon(std::uint64_t request_id, TimePoint now);
+  void accept_run(std::uint64_t request_id, TimePoint now);
+  void send_done(const KeyId& id, std::uint64_t request_id, bool not_run, std::string answer,
+                 TimePoint now);
+  void receive_reply(const Reply& reply, const std::string& from, TimePoint now);
+  void refuse(std::uint64_t request_id, const Reply& reply, TimePoint now);
+  void expire_pending(TimePoint now);
+
+  // key_owner.cpp
+  [[nodiscard]] bool owns(std::uint32_t shard) const;
+  std::optional<OwnDecision> decide(const KeyId& id, std::uint64_t fingerprint,
+                                    std::uint64_t request_id, const std::string& entry,
+                                    TimePoint now);
+  std::optional<OwnDecision> decide_known(const KnownKey& known, std::uint64_t fingerprint,
+                                          std::uint64_t request_id, const std::string& entry) const;
+  void receive_forward(const proto::peer::KeyForward& forward, const std::string& from,
+                       TimePoint now);
+  [[nodiscard]] Reply::Decision register_witness(const proto::peer::KeyForward& forward,
+                                                 const std::string& from, TimePoint now);
+  void receive_done(const proto::peer::KeyDone& done, const std::string& from, TimePoint now);
+
+  // key_exchange.cpp
+  void receive_query(const proto::peer::KeyQuery& query, const std::string& from);
+  void receive_list(const proto::peer::KeyList& list, const std::string& from, TimePoint now);
+  bool merge(const proto::peer::KeyList& list, TimePoint now);
+  void receive_pledge(const proto::peer::PeerMessage& message, TimePoint now);
+  void record_handover(const proto::peer::KeyList& list, const std::string& from, TimePoint now);
+  void note_handover(const std::string& daemon, std::uint64_t incarnation, TimePoint now);
+  void add_handovers(proto::peer::KeyList& list) const;
+  void send_queries(std::uint32_t shard);
+  void send_pledges(TimePoint now);
+  void register_unwitnessed(TimePoint now);
+  void resend(TimePoint now);
+  void post(std::uint64_t id, Outgoing outgoing, TimePoint now);
+
+  // key_table.cpp
+  void observe(TimePoint now);
+  void send(const std::string& daemon, proto::peer::PeerMessage message);
+  void send_reply(const std::string& daemon, Reply reply);
+  [[nodiscard]] std::uint64_t next_id();
+  [[nodiscard]] std::uint32_t shard_of(const KeyId& id) const;
+  [[nodiscard]] std::uint64_t floor(std::uint32_t shard) const;
+  [[nodiscard]] bool is_live(const std::string& daemon) const;
+  [[nodiscard]] bool is_full() const;
+
+  KeyOptions m_options;
+  Sink m_sink;
+  KeyStore m_store;
+  std::vector<ShardView> m_shards;
+  std::vector<std::string> m_live;
+  std::map<std::uint32_t, KeyTakeover> m_owned;    // shards that this daemon owns
+  std::map<std::uint32_t, std::uint64_t> m_floor;  // lowest term still taken part in
+  std::map<std::uint64_t, Pending> m_pending;      // by request id
+  std::map<std::uint64_t, Outgoing> m_outbox;      // by request id
+  std::map<std::pair<std::string, std::uint64_t>, Handover> m_handovers;  // by incarnation
+  std::map<std::pair<std::string, std::uint64_t>, TimePoint>
+      m_pledged;                                    // held, with time of receipt
+  std::map<std::string, TimePoint> m_pledge_acked;  // by daemon
+  std::map<std::uint64_t, KeyId> m_unwitnessed;     // run alone, by request id
+  std::uint64_t m_registration = 0;                 // outbox id of unwitnessed keys under way
+  std::vector<std::uint64_t> m_registering;
+  std::uint64_t m_last_id = 0;
+  TimePoint m_last_seen{};
+  TimePoint m_next_exchange{};
+  TimePoint m_next_pledge{};
+  std::optional<TimePoint> m_resharded;
+  bool m_alone_uncertain = false;  // paused; others may have joined meanwhile
+  bool m_view_stale = false;       // paused for so long that others may have forgotten keys
+  bool m_closing = false;
+};
+
+}  // namespace arbutusdale::routing
--- /dev/null
+++ b/src/arbutusdale/routing/key_table_test.cpp
@@ -0,0 +1,231 @@
+// Tests of single rules of the key table; key_property_test.cpp covers arbitrary schedules.
+#include <optional>
+#include <string>
+
+#include "key_cluster_test.hpp"
+#include <criterion/criterion.h>
+
+using namespace arbutusdale;
+using namespace arbutusdale::routing;
+using namespace arbutusdale::routing::testing;
+
+namespace {
+
+/// Three daemons, of which a owns the only shard.
+struct Fixture {
+  Cluster cluster{1, 7};
+  KeyAnswer answer;
+
+  explicit Fixture(int daemons = 3) {
+    for (const auto* name : {"a", "b", "c"}) {
+      if (daemons-- > 0) {
+        cluster.start(name);
+      }
+    }
+    cluster.read_all();
+    cluster.claim("a", 0);
+    cluster.settle();
+  }
+
+  static KeyedCall call(const std::string& key, std::uint64_t fingerprint = 1) {
+    return KeyedCall{"book", key, fingerprint};
+  }
+
+  /// Asks at a daemon and lets all messages pass.
+  KeyDecision ask(const std::string& daemon, const std::string& key, std::uint64_t print = 1) {
+    std::optional<KeyAnswer> decided;
+    cluster.table(daemon).request(call(key, print), cluster.now,
+                                  [&](KeyAnswer result) { decided = std::move(result); });
+    for (int i = 0; i < 15 && !decided; ++i) {
+      cluster.deliver_all();
+      if (!decided) {
+        cluster.advance(std::chrono::milliseconds{200});
+      }
+    }
+    cr_assert(decided.has_value(), "no decision");
+    answer = *decided;
+    return answer.decision;
+  }
+
+  void finish(const std::string& daemon, const std::string& key, bool not_run,
+              const std::string& text = "") {
+    cluster.table(daemon).finish(call(key), not_run, text, cluster.now);
+    cluster.deliver_all();
+  }
+
+  /// Kills a daemon and lets `heir` take over the shard.
+  void take_over(const std::string& dead, const std::string& heir) {
+    const auto incarnation = cluster.process(dead).incarnation;
+    cluster.kill(dead);
+    cluster.end(dead, incarnation);
+    cluster.read_all();
+    cr_assert(cluster.claim(heir, 0));
+    cluster.settle();
+  }
+};
+
+}  // namespace
+
+// Guards against a second run of a key, at any daemon, and against a lost answer.
+Test(key_table, answer_is_replayed) {
+  Fixture f;
+  cr_assert(f.ask("b", "k") == KeyDecision::run);
+  cr_assert(f.ask("c", "k") == KeyDecision::in_progress);
+  cr_assert(f.ask("b", "k") == KeyDecision::in_progress);
+  f.finish("b", "k", false, "booked");
+  for (const auto* daemon : {"a", "b", "c"}) {
+    cr_assert(f.ask(daemon, "k") == KeyDecision::done);
+    cr_assert_eq(f.answer.stored_answer, "booked");
+  }
+}
+
+// Guards against an answer of one call that is given to another call with the same key.
+Test(key_table, key_of_another_call_is_refused) {
+  Fixture f;
+  cr_assert(f.ask("b", "k", 1) == KeyDecision::run);
+  cr_assert(f.ask("c", "k", 2) == KeyDecision::mismatch);
+}
+
+// Guards against a key that stays blocked although its call was proved not to have run.
+Test(key_table, not_run_frees_the_key) {
+  Fixture f;
+  for (const auto* daemon : {"a", "b", "c"}) {
+    cr_assert(f.ask(daemon, "k") == KeyDecision::run);
+    f.finish(daemon, "k", true);
+  }
+  f.take_over("a", "b");
+  cr_assert(f.ask("c", "k") == KeyDecision::run);
+}
+
+// Guards against answers above the limit that fill the memory.
+Test(key_table, large_answer_is_not_kept) {
+  Fixture f;
+  f.ask("b", "k");
+  f.finish("b", "k", false, std::string(70'000, 'x'));
+  cr_assert(f.ask("c", "k") == KeyDecision::done);
+  cr_assert(f.answer.stored_answer.empty());
+}
+
+// Guards against a takeover that forgets keys granted by the owner that died, either to another
+// entry or to itself with a witness, and against refusing keys that are proved new.
+Test(key_table, takeover_knows_the_granted_keys) {
+  Fixture f;
+  cr_assert(f.ask("b", "by_b") == KeyDecision::run);
+  cr_assert(f.ask("a", "by_owner") == KeyDecision::run);
+  f.take_over("a", "c");
+  cr_assert(f.ask("b", "by_b") == KeyDecision::in_progress);
+  cr_assert(f.ask("b", "by_owner") == KeyDecision::may_have_run);
+  cr_assert(f.ask("b", "new") == KeyDecision::run);
+}
+
+// Guards against a run of a key whose two holders are both lost, and against blocking keys for
+// longer than they are kept.
+Test(key_table, both_holders_lost_leaves_doubt) {
+  Fixture f;
+  cr_assert(f.ask("b", "k") == KeyDecision::run);
+  f.cluster.kill("b");
+  f.take_over("a", "c");
+  cr_assert(f.ask("c", "k") == KeyDecision::may_have_run);
+  for (int i = 0; i < 601; ++i) {
+    f.cluster.advance(std::chrono::seconds{1});
+  }
+  cr_assert(f.ask("c", "other") != KeyDecision::may_have_run || f.cluster.names().size() == 1);
+}
+
+// Guards against a daemon that ran calls alone, crashed, and is taken for one with witnesses.
+Test(key_table, crash_of_a_lone_daemon_leaves_doubt) {
+  Fixture f{1};
+  cr_assert(f.ask("a", "alone") == KeyDecision::run);
+  f.cluster.start("b");
+  f.cluster.read("b", f.cluster.stream.size());
+  f.take_over("a", "b");
+  cr_assert(f.ask("b", "alone") == KeyDecision::may_have_run);
+}
+
+// Guards against keys that were run alone and stay unknown to daemons that join later.
+Test(key_table, keys_run_alone_are_registered_later) {
+  Fixture f{1};
+  cr_assert(f.ask("a", "alone") == KeyDecision::run);
+  f.cluster.start("b");
+  f.cluster.start("c");
+  f.cluster.settle();
+  f.take_over("a", "b");
+  cr_assert(f.ask("c", "alone") == KeyDecision::may_have_run);
+  cr_assert(f.ask("c", "new") == KeyDecision::run);
+}
+
+// Guards against a paused owner that resumes and grants keys of its ended term.
+Test(key_table, resumed_owner_grants_nothing) {
+  Fixture f;
+  auto& old = f.cluster.process("a");
+  old.paused = true;
+  f.cluster.end("a", old.incarnation);
+  f.cluster.read("b", f.cluster.stream.size());
+  f.cluster.read("c", f.cluster.stream.size());
+  cr_assert(f.cluster.claim("b", 0));
+  f.cluster.read("c", f.cluster.stream.size());
+  f.cluster.deliver_all();
+  old.paused = false;
+  cr_assert(f.ask("b", "k") == KeyDecision::run);
+  cr_assert(f.ask("a", "k") == KeyDecision::may_have_run);
+  cr_assert(f.ask("a", "unused") == KeyDecision::may_have_run);
+}
+
+// Guards against graceful stops, one after the other, that leave unknown keys in doubt.
+Test(key_table, handover_leaves_no_doubt) {
+  Fixture f;
+  cr_assert(f.ask("b", "k") == KeyDecision::run);
+  f.cluster.table("a").hand_over(f.cluster.now);
+  f.cluster.deliver_all();
+  f.take_over("a", "b");
+  cr_assert(f.ask("c", "other") == KeyDecision::run);
+  f.cluster.table("b").hand_over(f.cluster.now);
+  f.cluster.deliver_all();
+  f.take_over("b", "c");
+  cr_assert(f.ask("c", "new") == KeyDecision::run);
+  cr_assert(f.ask("c", "k") == KeyDecision::may_have_run);
+}
+
+// Guards against a restarted daemon whose empty table counts as an answer for the keys it lost.
+Test(key_table, restarted_daemon_proves_nothing) {
+  Fixture f;
+  cr_assert(f.ask("b", "k") == KeyDecision::run);
+  f.cluster.end("b", f.cluster.process("b").incarnation);
+  f.cluster.start("b");
+  f.take_over("a", "c");
+  cr_assert(f.ask("b", "k") == KeyDecision::may_have_run);
+}
+
+// Guards against tables that grow without bound.
+Test(key_table, size_is_bounded) {
+  KeyOptions options;
+  options.daemon = "a";
+  options.max_keys = 3;
+  auto table = make_key_table(options, [](const auto&, auto) {});
+  TimePoint now{std::chrono::seconds{1}};
+  table->set_shards({{"a", 1}}, now);
+  table->begin_term(0, 1, {}, now);
+  const auto ask = [&](const std::string& key) {
+    KeyDecision decision = KeyDecision::mismatch;
+    table->request(Fixture::call(key), now, [&](KeyAnswer result) { decision = result.decision; });
+    return decision;
+  };
+  for (const auto* key : {"1", "2", "3"}) {
+    cr_assert(ask(key) == KeyDecision::run);
+  }
+  cr_assert(ask("4") == KeyDecision::overloaded);
+  for (int i = 0; i < 601; ++i) {
+    now += std::chrono::seconds{1};
+    table->tick(now);
+  }
+  cr_assert_eq(table->size(), 0U);
+  cr_assert(ask("4") == KeyDecision::run);
+}
+
+// Guards against a home domain that depends on the order of the declaration, and against a prefix
+// that names no domain.
+Test(key_table, home_domain) {
+  cr_assert_eq(home_domain("s", "lager:1", {"halle-a", "lager"}), "lager");
+  cr_assert_eq(home_domain("s", "x:1", {"p", "q", "r"}), home_domain("s", "x:1", {"r", "p", "q"}));
+  cr_assert_eq(home_domain("s", "k", {}), "");
+}
