--- a/include/arbutusdale/standin/log_model.hpp
+++ b/include/arbutusdale/standin/log_model.hpp
@@ -24,6 +24,7 @@
   double append_burst = 100;                 // appends accepted at once after a quiet time
   std::uint64_t retained_records = 100'000;  // per stream
   std::uint32_t max_read_entries = 1'000;    // per read
+  std::size_t max_read_bytes = 4'194'304;    // per read, but always one entry
   std::size_t max_payload_bytes = 1'048'576;
   std::uint64_t seed = 1;
 };
--- a/src/arbutusdale/standin/log_model.cpp
+++ b/src/arbutusdale/standin/log_model.cpp
@@ -67,11 +67,17 @@
   reply.set_first_offset(data.first_offset);
   reply.set_next_offset(next);
   const std::uint64_t count = std::min(limit, m_options.max_read_entries);
-  std::uint64_t offset = std::max(from, data.first_offset);
-  for (; offset < next && static_cast<std::uint64_t>(reply.entries_size()) < count; ++offset) {
+  const std::uint64_t start = std::max(from, data.first_offset);
+  std::size_t bytes = 0;
+  for (std::uint64_t offset = start; offset < next && offset - start < count; ++offset) {
+    const std::string& payload = data.payloads[offset - data.first_offset];
+    bytes += payload.size();
+    if (bytes > m_options.max_read_bytes && offset > start) {
+      break;
+    }
     auto* entry = reply.add_entries();
     entry->set_offset(offset);
-    entry->set_payload(data.payloads[offset - data.first_offset]);
+    entry->set_payload(payload);
   }
   return reply;
 }
--- a/src/arbutusdale/standin/model_test.cpp
+++ b/src/arbutusdale/standin/model_test.cpp
@@ -58,6 +58,18 @@
   cr_assert_eq(read.next_offset(), 2U);
 }
 
+// Guards against a read that returns more bytes than a client accepts, or that returns nothing.
+Test(log_model, read_is_bounded_in_bytes) {
+  LogModelOptions options;
+  options.max_read_bytes = 10;
+  LogModel log(options);
+  for (const char* payload : {"0123456789abcdef", "01234567", "01", "x"}) {
+    (void)log.append("global", payload, k_start);
+  }
+  cr_assert_eq(log.read("global", 0, 10).value().entries_size(), 1);
+  cr_assert_eq(log.read("global", 1, 10).value().entries_size(), 2);
+}
+
 // Guards against a limit that lets appends through, or that refuses them after having stored them.
 Test(log_model, limit_refuses_without_effect) {
   LogModelOptions options;
