--- /dev/null
+++ b/src/arbutusdale/gateway/caller_entry.hpp
@@ -0,0 +1,31 @@
+// Entry of callers' requests: checks them and makes calls of them.
+#pragma once
+
+#include <memory>
+
+#include "dispatcher.hpp"
+#include "http_server.hpp"
+
+namespace arbutusdale::gateway {
+
+class CallerEntry {
+ public:
+  explicit CallerEntry(Dispatcher& dispatcher) : m_dispatcher(dispatcher) {}
+
+  void handle(const std::shared_ptr<Exchange>& exchange);
+
+ private:
+  [[nodiscard]] bool is_forwarded(const HeaderList& headers) const;
+  [[nodiscard]] std::string team_of(const HeaderList& headers) const;
+  [[nodiscard]] Result<TimePoint> deadline_of(const HeaderList& headers,
+                                              Duration service_timeout) const;
+  void route_keyed(const std::shared_ptr<ProxyCall>& call, const routing::KeyedCall& keyed,
+                   bool forwarded);
+  void ask_gate(const std::shared_ptr<ProxyCall>& call, const routing::KeyedCall& keyed);
+  static void decide(Dispatcher& dispatcher, const std::shared_ptr<ProxyCall>& call,
+                     routing::KeyAnswer answer);
+
+  Dispatcher& m_dispatcher;
+};
+
+}  // namespace arbutusdale::gateway
--- /dev/null
+++ b/src/arbutusdale/gateway/caller_watch.cpp
@@ -0,0 +1,57 @@
+// Watch of suspended connections by epoll. A caller that closes only its sending side counts as
+// gone, as in most proxies; its queued call is then answered with an error.
+#include "caller_watch.hpp"
+
+#include <array>
+
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+namespace arbutusdale::gateway {
+
+CallerWatch::CallerWatch(std::function<void(std::uint64_t id)> gone)
+    : m_gone(std::move(gone)),
+      m_epoll(epoll_create1(EPOLL_CLOEXEC)),
+      m_wakeup(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)) {
+  epoll_event event{};
+  event.events = EPOLLIN;
+  event.data.u64 = 0;
+  epoll_ctl(m_epoll, EPOLL_CTL_ADD, m_wakeup, &event);
+  m_thread = std::thread([this] { run(); });
+}
+
+CallerWatch::~CallerWatch() {
+  m_stopping = true;
+  eventfd_write(m_wakeup, 1);
+  m_thread.join();
+  close(m_wakeup);
+  close(m_epoll);
+}
+
+bool CallerWatch::add(int socket, std::uint64_t id) {
+  epoll_event event{};
+  event.events = EPOLLRDHUP | EPOLLONESHOT;
+  event.data.u64 = id;
+  return epoll_ctl(m_epoll, EPOLL_CTL_ADD, socket, &event) == 0;
+}
+
+void CallerWatch::remove(int socket) {
+  epoll_event event{};
+  epoll_ctl(m_epoll, EPOLL_CTL_DEL, socket, &event);
+}
+
+void CallerWatch::run() {
+  std::array<epoll_event, 64> events{};
+  while (!m_stopping) {
+    const int count = epoll_wait(m_epoll, events.data(), static_cast<int>(events.size()), -1);
+    for (int i = 0; i < count; ++i) {
+      const std::uint64_t id = events.at(static_cast<std::size_t>(i)).data.u64;
+      if (id != 0) {
+        m_gone(id);
+      }
+    }
+  }
+}
+
+}  // namespace arbutusdale::gateway
--- /dev/null
+++ b/src/arbutusdale/gateway/caller_watch.hpp
@@ -0,0 +1,32 @@
+// Notices callers that close their connection while it is suspended, which libmicrohttpd does not.
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <thread>
+
+namespace arbutusdale::gateway {
+
+class CallerWatch {
+ public:
+  /// `gone` receives the id given to `add`, on the watch's thread, at most once per `add`.
+  explicit CallerWatch(std::function<void(std::uint64_t id)> gone);
+  ~CallerWatch();
+  CallerWatch(const CallerWatch&) = delete;
+  CallerWatch& operator=(const CallerWatch&) = delete;
+
+  bool add(int socket, std::uint64_t id);
+  void remove(int socket);
+
+ private:
+  void run();
+
+  const std::function<void(std::uint64_t)> m_gone;
+  int m_epoll = -1;
+  int m_wakeup = -1;
+  std::atomic<bool> m_stopping{false};
+  std::thread m_thread;
+};
+
+}  // namespace arbutusdale::gateway
