--- /dev/null
+++ b/src/arbutusdale/cli/commands.hpp
@@ -0,0 +1,24 @@
+// Verbs of arbutusctl.
+#pragma once
+
+#include <functional>
+#include <iosfwd>
+#include <optional>
+#include <string>
+
+#include "admin_client.hpp"
+#include "options.hpp"
+
+namespace arbutusdale::cli {
+
+/// What the verbs work with; replaced in tests.
+struct Environment {
+  std::ostream& out;
+  std::ostream& err;
+  std::function<std::optional<std::string>(const std::string&)> read_file;
+};
+
+/// Runs the verb. `client` is used only by verbs that need the server.
+Exit run_command(const Options& options, AdminClient& client, const Environment& environment);
+
+}  // namespace arbutusdale::cli
