Bound the progress records of a failure domain by retiring ended jobs

A JobRetired record replaces the progress of a job by its name. A plan that is stopped after its confirmation keeps the name of who confirmed it.

--- a/include/arbutusdale/state/domain_state.hpp
+++ b/include/arbutusdale/state/domain_state.hpp
@@ -49,7 +49,8 @@
   /// True when the incarnation has joined and has not been ended.
   [[nodiscard]] virtual bool is_alive(const std::string& daemon,
                                       std::uint64_t incarnation) const = 0;
-  /// Progress of a job, or null when nothing is recorded.
+  /// Progress of a job, or null when nothing is recorded. In a job that was retired all tasks count
+  /// as succeeded, so that a holder which still finds it in the declaration starts none.
   [[nodiscard]] virtual const JobRecord* job(const std::string& name) const = 0;
   [[nodiscard]] virtual std::vector<std::string> jobs() const = 0;
   /// Quarantines in force or past, newest per worker.
--- a/include/arbutusdale/state/limits.hpp
+++ b/include/arbutusdale/state/limits.hpp
@@ -16,6 +16,9 @@
 constexpr std::size_t k_max_plans_kept = 1'000;
 /// Ended jobs that stay in the declaration; older ones leave it.
 constexpr std::size_t k_max_ended_jobs_kept = 2'000;
+/// Retired jobs whose names a failure domain keeps, about five hours of jobs at 100,000 a day. A
+/// holder whose copy of `global` is older than that could start a forgotten job again.
+constexpr std::size_t k_max_retired_jobs_kept = 20'000;
 /// VMs under drain; the planner refuses more.
 constexpr std::size_t k_max_drains = 2'000;
 /// Writers whose newest record id is kept. With 260 daemons and 5,000 restarts a day, a writer is
--- a/src/arbutusdale/state/domain_state.cpp
+++ b/src/arbutusdale/state/domain_state.cpp
@@ -4,6 +4,8 @@
 #include "arbutusdale/state/limits.hpp"
 
 #include <algorithm>
+#include <deque>
+#include <limits>
 #include <utility>
 
 #include "objects.hpp"
@@ -18,6 +20,9 @@
 using proto::state::TaskNote;
 using Ranges = google::protobuf::RepeatedPtrField<proto::state::TaskRange>;
 
+// Only a retired job has this task: it exceeds the tasks of every declared one.
+constexpr std::uint32_t k_last_task = std::numeric_limits<std::uint32_t>::max();
+
 TaskSpan span_of(const proto::state::TaskRange& range) {
   return TaskSpan{range.first(), range.last()};
 }
@@ -78,7 +83,7 @@
 }
 
 void ProgressWriter::succeed(const TaskSpan& span) {
-  if (span.first > span.last) {
+  if (span.first > span.last || span.last == k_last_task) {
     return;
   }
   m_job.succeeded.insert(span);
@@ -154,6 +159,8 @@
   void progress(const proto::state::TaskProgress& progress);
   void move(const proto::state::TasksMoved& move);
   void quarantine(const proto::state::WorkerQuarantined& quarantine);
+  void retire(const proto::state::JobRetired& retired);
+  void forget(const std::string& job);
   void drop_ended_incarnations();
   [[nodiscard]] bool is_current(std::uint32_t shard, std::uint64_t term) const;
   IncarnationEntry* find(const std::string& daemon, std::uint64_t incarnation);
@@ -165,6 +172,7 @@
   std::map<std::string, proto::state::WorkerQuarantined> m_quarantines;  // newest by worker
   std::vector<std::string> m_quarantine_order;  // workers, least recently quarantined first
   std::vector<proto::state::TasksMoved> m_moves;
+  std::deque<std::string> m_retired;  // jobs in m_jobs without details, oldest first
   RecordIds m_ids;
 };
 
@@ -180,6 +188,7 @@
     case Record::kTaskProgress:
     case Record::kTasksMoved:
     case Record::kWorkerQuarantined:
+    case Record::kJobRetired:
       break;
     default:
       return unknown_type(record, offset);
@@ -203,8 +212,10 @@
     progress(record.task_progress());
   } else if (record.has_tasks_moved()) {
     move(record.tasks_moved());
-  } else {
+  } else if (record.has_worker_quarantined()) {
     quarantine(record.worker_quarantined());
+  } else {
+    retire(record.job_retired());
   }
 }
 
@@ -336,8 +347,10 @@
 }
 
 void DomainStateMachine::move(const proto::state::TasksMoved& move) {
+  const JobRecord* record = job(move.job());
+  const bool is_retired = record != nullptr && record->succeeded.contains(k_last_task);
   if (!is_current(move.from_shard(), move.from_term()) || move.to_shard() >= k_max_shards ||
-      m_moves.size() >= k_max_moves_kept) {
+      m_moves.size() >= k_max_moves_kept || is_retired) {
     return;
   }
   m_moves.push_back(move);
@@ -358,6 +371,29 @@
   }
 }
 
+void DomainStateMachine::retire(const proto::state::JobRetired& retired) {
+  const std::string& job = retired.job();
+  const auto it = m_jobs.find(job);
+  if (!is_current(retired.shard(), retired.term()) || it == m_jobs.end() ||
+      it->second.succeeded.contains(k_last_task)) {
+    return;
+  }
+  forget(job);
+  m_retired.push_back(job);
+  if (m_retired.size() > k_max_retired_jobs_kept) {
+    m_jobs.erase(m_retired.front());
+    m_retired.pop_front();
+  }
+}
+
+void DomainStateMachine::forget(const std::string& job) {
+  m_jobs[job] = JobRecord{};
+  m_jobs[job].succeeded.insert(TaskSpan{0, k_last_task});
+  m_moves.erase(std::remove_if(m_moves.begin(), m_moves.end(),
+                               [&job](const auto& move) { return move.job() == job; }),
+                m_moves.end());
+}
+
 proto::state::DomainSnapshot DomainStateMachine::snapshot() const {
   proto::state::DomainSnapshot snapshot;
   snapshot.set_domain(m_domain);
@@ -372,7 +408,13 @@
     entry.set_incarnation(owner.incarnation);
     entry.set_owned(owner.owned);
   }
+  for (const auto& job : m_retired) {
+    snapshot.add_retired_jobs(job);
+  }
   for (const auto& [name, record] : m_jobs) {
+    if (record.succeeded.contains(k_last_task)) {
+      continue;
+    }
     auto& entry = *snapshot.add_jobs();
     entry.set_job(name);
     save_spans(record.succeeded, *entry.mutable_succeeded());
@@ -420,6 +462,10 @@
     m_quarantine_order.push_back(quarantine.worker());
   }
   m_moves = {snapshot.moves().begin(), snapshot.moves().end()};
+  m_retired = {snapshot.retired_jobs().begin(), snapshot.retired_jobs().end()};
+  for (const auto& job : m_retired) {
+    forget(job);
+  }
   m_ids.restore(snapshot.recent_record_ids());
 }
 
--- a/src/arbutusdale/state/domain_state_test.cpp
+++ b/src/arbutusdale/state/domain_state_test.cpp
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <string>
+#include <utility>
 
 #include "assignment.hpp"
 #include <criterion/criterion.h>
@@ -198,6 +199,32 @@
   cr_assert_eq(copy->shard(0).term, term);
 }
 
+// Guards against memory that grows with the jobs of all time, and against a retired job that a
+// holder with an old declaration starts again.
+Test(domain_state, retired_job_counts_as_succeeded) {
+  Fixture f;
+  f.join("d1");
+  const auto term = f.claim("d1", 0, 0);
+  using Progress = proto::state::JobTaskProgress;
+  f.progress(term, with_note(&Progress::mutable_failed, 3, 1, "vm-1"));
+  f.move(term, 1, 0, 3);
+  Record record;
+  record.mutable_job_retired()->set_job("cuts");
+  record.mutable_job_retired()->set_term(term - 1);
+  f.apply(record);
+  cr_assert(f.state->job("cuts")->failed.contains(3));
+  record.mutable_job_retired()->set_term(term);
+  f.apply(record);
+  const auto copy = make_domain_state("halle-a");
+  copy->restore(f.state->snapshot());
+  for (const DomainState* state : {f.state.get(), std::as_const(copy).get()}) {
+    cr_assert(state->job("cuts")->failed.empty());
+    cr_assert(state->job("cuts")->succeeded.contains(99'999));
+    cr_assert(state->moves().empty());
+  }
+  cr_assert(copy->snapshot().SerializeAsString() == f.state->snapshot().SerializeAsString());
+}
+
 // Guards against a record of the other stream that is skipped silently.
 Test(domain_state, unknown_records_are_errors) {
   Record record;
--- a/src/arbutusdale/state/global_state.cpp
+++ b/src/arbutusdale/state/global_state.cpp
@@ -174,6 +174,13 @@
   if (!proposed && !stoppable) {
     return;
   }
+  if (stoppable) {
+    // The decision that put the plan in force stays in the record.
+    entry.set_reason("stopped by " + decided.actor() +
+                     (decided.reason().empty() ? "" : ": " + decided.reason()));
+    entry.set_state("cancelled");
+    return;
+  }
   entry.set_decided_by(decided.actor());
   entry.set_decided_at_ms(record.written_at_ms());
   entry.set_decided_offset(offset);
--- a/src/arbutusdale/state/global_state_test.cpp
+++ b/src/arbutusdale/state/global_state_test.cpp
@@ -124,6 +124,21 @@
   cr_assert_eq(f.state->version(), 0U);
 }
 
+// Guards against a record that no longer says who confirmed a plan that was stopped later.
+Test(global_state, stopped_plan_keeps_its_confirmation) {
+  Fixture f;
+  f.propose(f.service_plan("p", "checks"));
+  f.decide("p", PlanDecided::CONFIRM);
+  Record stop;
+  stop.mutable_plan_decided()->set_plan_id("p");
+  stop.mutable_plan_decided()->set_decision(PlanDecided::CANCEL);
+  stop.mutable_plan_decided()->set_actor("night");
+  cr_assert(f.apply(stop));
+  cr_assert_str_eq(f.state->plan("p")->state().c_str(), "cancelled");
+  cr_assert_str_eq(f.state->plan("p")->decided_by().c_str(), "ops");
+  cr_assert_str_eq(f.state->plan("p")->reason().c_str(), "stopped by night");
+}
+
 // Guards against a change to a job that was cancelled while the plan waited.
 Test(global_state, cancelled_job_is_not_changed) {
   Fixture f;
--- a/src/arbutusdale/state/snapshot_test.cpp
+++ b/src/arbutusdale/state/snapshot_test.cpp
@@ -185,6 +185,33 @@
   cr_assert(reader.text() == writer.text());
 }
 
+// Guards against a record that takes effect twice, or whose caller never hears of it, when the log
+// trims it before the reader has read it back.
+Test(snapshot, lost_answer_trimmed_before_reading) {
+  FakeLog log;
+  FakeClock clock;
+  Daemon daemon(log, clock, "d1-1");
+  Daemon other(log, clock, "d2-1");
+  run(clock, 100ms, {&daemon, &other});
+  log.faults = {FakeLog::Fault::no_answer};
+  daemon.propose("a");
+  proto::state::Batch batch;
+  auto& record = *batch.add_records();
+  record.set_id("d1-1/1");
+  record.set_format(k_record_format);
+  record.mutable_plan_proposed()->mutable_plan()->set_id("a");
+  log.entries.push_back(batch.SerializeAsString());
+  run(clock, 1s, {&other});
+  log.trim_to(1);
+  run(clock, 2s, {&other});
+  run(clock, 5s, {&daemon, &other});
+  cr_assert_eq(daemon.stream->stats().snapshots_loaded, 1U);
+  cr_assert_eq(daemon.outcomes.size(), 1U);
+  cr_assert(daemon.outcomes[0].has_value());
+  cr_assert(daemon.text() == other.text());
+  cr_assert_eq(other.handler.state->plans().size(), 1U);
+}
+
 // Guards against a snapshot of a peer that takes the state back in time.
 Test(snapshot, older_snapshot_is_not_adopted) {
   FakeLog log;
