--- a/src/arbutusdale/state/snapshot_test.cpp
+++ b/src/arbutusdale/state/snapshot_test.cpp
@@ -126,11 +126,13 @@
 }
 
 // Guards against proposals into a log that no new daemon could follow: after an outage in which
-// the last snapshot was trimmed, the state is published before anything else.
+// the last snapshot was trimmed, the state is published before anything else, also by a daemon
+// that lets others go first.
 Test(snapshot, republishes_before_proposing) {
   FakeLog log;
   FakeClock clock;
   Daemon daemon(log, clock, "d1-1");
+  daemon.stream->set_snapshot_rank(1);
   run(clock, 100ms, {&daemon});
   propose_many(clock, daemon, 5, {&daemon});
   log.out = true;
@@ -138,6 +140,8 @@
   run(clock, 5s, {&daemon});
   log.trim_to(5);
   log.out = false;
+  run(clock, 1500ms, {&daemon});
+  cr_assert(log.entries.empty());
   run(clock, 10s, {&daemon});
   proto::state::Batch batch;
   cr_assert(batch.ParseFromString(log.entries.front()));
@@ -148,6 +152,25 @@
   cr_assert(reader.text() == daemon.text());
 }
 
+// Guards against a whole snapshot that is loaded although records after it were trimmed.
+Test(snapshot, snapshot_below_the_trim_horizon_is_no_use) {
+  FakeLog log;
+  FakeClock clock;
+  Daemon writer(log, clock, "d1-1");
+  run(clock, 100ms, {&writer});
+  const std::string early = writer.handler.save_snapshot();
+  propose_many(clock, writer, 5, {&writer});
+  proto::state::Batch batch;
+  batch.add_records()->set_format(k_record_format);
+  *batch.mutable_records(0)->mutable_snapshot_chunk() = split_snapshot("w/s", 2, early)[0];
+  log.entries.push_back(batch.SerializeAsString());
+  log.trim_to(4);
+  Daemon reader(log, clock, "d2-1");
+  run(clock, 1s, {&reader});
+  cr_assert(reader.stream->stats().gap);
+  cr_assert_eq(reader.stream->stats().snapshots_loaded, 0U);
+}
+
 // Guards against a gap that goes unnoticed, and against proposals made across one.
 Test(snapshot, gap_is_reported_until_a_peer_helps) {
   FakeLog log;
--- a/src/arbutusdale/state/stream.cpp
+++ b/src/arbutusdale/state/stream.cpp
@@ -95,8 +95,8 @@
   bool m_has_snapshot = false;  // a complete one was read; the next two members describe it
   std::uint64_t m_snapshot_covers = 0;
   std::uint64_t m_snapshot_offset = 0;  // of its first chunk
-  std::uint64_t m_records_since = 0;    // records and entries applied since, without chunks
-  std::uint64_t m_entries_since = 0;
+  std::uint64_t m_records_since = 0;    // records applied since, without chunks
+  std::uint64_t m_entries_since = 0;    // entries read since
   std::uint32_t m_rank = 0;
   std::optional<TimePoint> m_snapshot_due;
 
@@ -227,16 +227,14 @@
     return false;
   }
   m_stats.next_offset = entry.offset() + 1;
-  bool has_records = false;
   for (const auto& record : batch.records()) {
     if (const auto applied = apply_record(entry.offset(), record); !applied) {
       stop(applied.error().message);
       return false;
     }
-    has_records = has_records || !record.has_snapshot_chunk();
     m_appends.seen(record.id(), entry.offset());
   }
-  m_entries_since += has_records ? 1 : 0;
+  ++m_entries_since;
   return true;
 }
 
--- /dev/null
+++ b/src/arbutusdale/state/stream_fault_test.cpp
@@ -0,0 +1,161 @@
+// Random faults of the log against several daemons: late completions, lost answers, appends that
+// take effect late, refusals and trimming. Fixed seeds.
+#include "arbutusdale/core/random.hpp"
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "fake_log_test.hpp"
+#include <criterion/criterion.h>
+
+using namespace arbutusdale;
+using namespace arbutusdale::state;
+using namespace std::chrono_literals;
+using Fault = FakeLog::Fault;
+
+namespace {
+
+/// Runs the calls of the fake log late and answers them later still.
+class SlowLog final : public platform::Log {
+ public:
+  SlowLog(FakeLog& log, Random& random) : m_log(log), m_random(random) {}
+
+  void append(const std::string& stream, std::string payload,
+              platform::Completion<std::uint64_t> done) override {
+    m_steps.push_back([this, stream, payload = std::move(payload), done = std::move(done)] {
+      m_log.append(stream, payload, [this, done](Result<std::uint64_t> offset) {
+        m_steps.push_back([done, offset] { done(offset); });
+      });
+    });
+  }
+
+  void read(const std::string& stream, std::uint64_t from, std::uint32_t limit,
+            platform::Completion<proto::platform::ReadReply> done) override {
+    m_steps.push_back([this, stream, from, limit, done = std::move(done)] {
+      m_log.read(stream, from, limit, [this, done](Result<proto::platform::ReadReply> reply) {
+        m_steps.push_back([done, reply = std::move(reply)] { done(reply); });
+      });
+    });
+  }
+
+  /// Runs up to `count` of the open steps in random order.
+  void run_some(std::uint64_t count) {
+    for (; count > 0 && !m_steps.empty(); --count) {
+      const auto at =
+          m_steps.begin() + static_cast<std::ptrdiff_t>(random_index(m_random, m_steps.size()));
+      const auto step = std::move(*at);
+      m_steps.erase(at);
+      step();
+    }
+  }
+
+ private:
+  FakeLog& m_log;
+  Random& m_random;
+  std::vector<std::function<void()>> m_steps;
+};
+
+/// Three daemons that propose plans while the log misbehaves, and then while it is well.
+struct Fleet {
+  explicit Fleet(std::uint64_t seed) : random(seed), slow(log, random) {
+    StreamOptions options;
+    options.snapshot_every_records = 30;
+    for (const char* writer : {"d1-1", "d2-1", "d3-1"}) {
+      options.seed = seed;
+      daemons.push_back(std::make_unique<SlowDaemon>(slow, clock, writer, options));
+    }
+  }
+
+  struct SlowDaemon {
+    SlowDaemon(platform::Log& log, FakeClock& clock, const std::string& writer,
+               StreamOptions options) {
+      options.name = "global";
+      options.writer = writer;
+      stream = make_stream(options, log, clock, handler);
+    }
+    StateHandler handler;
+    std::unique_ptr<Stream> stream;
+    std::uint64_t succeeded = 0;
+  };
+
+  void step() {
+    clock.advance(50ms);
+    for (auto& daemon : daemons) {
+      daemon->stream->tick(clock.now());
+      slow.run_some(random_index(random, 4));
+    }
+  }
+
+  void misbehave() {
+    log.faults.clear();
+    if (random_index(random, 3) == 0) {
+      log.faults = {static_cast<Fault>(random_index(random, 6))};
+    }
+    if (random_index(random, 50) == 0) {
+      log.out = !log.out;
+    }
+    if (random_index(random, 30) == 0) {
+      log.deliver_late();
+    }
+    if (log.entries.size() > 200) {
+      log.trim_to(log.next() - 150);
+    }
+  }
+
+  void propose() {
+    auto& daemon = *daemons[random_index(random, daemons.size())];
+    proto::state::Record record;
+    const std::string id = "plan-" + std::to_string(++proposed);
+    record.mutable_plan_proposed()->mutable_plan()->set_id(id);
+    daemon.stream->propose(
+        std::move(record), random_index(random, 2) == 0,
+        [&daemon](const Result<std::uint64_t>& offset) { daemon.succeeded += offset ? 1 : 0; });
+  }
+
+  FakeLog log;
+  FakeClock clock;
+  Random random;
+  SlowLog slow;
+  std::vector<std::unique_ptr<SlowDaemon>> daemons;
+  std::uint64_t proposed = 0;
+};
+
+}  // namespace
+
+// Guards against records that are lost, doubled or reordered between daemons, and against streams
+// that stay stuck after the log has recovered.
+Test(stream_faults, all_daemons_agree_and_nothing_is_lost) {
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    Fleet fleet(seed);
+    for (int round = 0; round < 1'500; ++round) {
+      fleet.misbehave();
+      if (round % 5 == 0) {
+        fleet.propose();
+      }
+      fleet.step();
+    }
+    fleet.log.out = false;
+    fleet.log.faults.clear();
+    fleet.log.deliver_late();
+    for (int round = 0; round < 1'500; ++round) {
+      fleet.step();
+    }
+    std::uint64_t succeeded = 0;
+    const std::string expected = fleet.daemons[0]->handler.state->snapshot().SerializeAsString();
+    for (const auto& daemon : fleet.daemons) {
+      succeeded += daemon->succeeded;
+      cr_assert(daemon->stream->stats().stopped_reason.empty());
+      cr_assert_not(daemon->stream->stats().gap, "seed %d", static_cast<int>(seed));
+      cr_assert(daemon->handler.state->snapshot().SerializeAsString() == expected, "seed %d",
+                static_cast<int>(seed));
+    }
+    cr_assert_eq(succeeded, fleet.proposed, "seed %d: %d of %d", static_cast<int>(seed),
+                 static_cast<int>(succeeded), static_cast<int>(fleet.proposed));
+    cr_assert_eq(fleet.daemons[0]->handler.state->plans().size(), fleet.proposed);
+  }
+}
--- a/src/arbutusdale/state/stream_test.cpp
+++ b/src/arbutusdale/state/stream_test.cpp
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 
+#include "append_queue.hpp"
 #include "fake_log_test.hpp"
 #include <criterion/criterion.h>
 
@@ -97,6 +98,32 @@
   cr_assert_eq(daemon.outcomes.size(), 2U);
 }
 
+// Guards against absence being concluded from a read that the log may have answered before the
+// append, or from one that ends below the offset that the append was given.
+Test(stream, absence_needs_a_later_read) {
+  StreamOptions options;
+  options.writer = "d1-1";
+  AppendQueue queue(options);
+  const TimePoint now{5s};
+  proto::state::Record record;
+  record.mutable_plan_proposed();
+  cr_assert(queue.push(record, true, nullptr, now));
+  const auto first = queue.next(true, now);
+  queue.answered(first->attempt, may_have_run(ErrorCode::connection_lost, "reset"), 5, now);
+  queue.reached_end(5, 10, now);
+  cr_assert_not(queue.next(true, now));
+  queue.reached_end(6, 10, now);
+  const auto second = queue.next(true, now);
+  cr_assert(second);
+  cr_assert(second->payload == first->payload);
+  queue.answered(second->attempt, 10, 6, now);
+  queue.reached_end(7, 10, now);
+  cr_assert_not(queue.next(true, now));
+  queue.seen("d1-1/1", 10);
+  cr_assert(queue.push(record, true, nullptr, now));
+  cr_assert(queue.next(true, now));
+}
+
 // Guards against records that overtake one whose fate is open: the order per writer is what makes
 // late copies recognizable.
 Test(stream, sends_nothing_past_an_open_append) {
