--- a/src/arbutusdale/state/stream_fault_test.cpp
+++ b/src/arbutusdale/state/stream_fault_test.cpp
@@ -64,7 +64,7 @@
 struct Fleet {
   explicit Fleet(std::uint64_t seed) : random(seed), slow(log, random) {
     StreamOptions options;
-    options.snapshot_every_records = 30;
+    options.snapshot_every_records = 15;
     for (const char* writer : {"d1-1", "d2-1", "d3-1"}) {
       options.seed = seed;
       daemons.push_back(std::make_unique<SlowDaemon>(slow, clock, writer, options));
@@ -81,11 +81,16 @@
     StateHandler handler;
     std::unique_ptr<Stream> stream;
     std::uint64_t succeeded = 0;
+    std::uint64_t paused_rounds = 0;
   };
 
   void step() {
     clock.advance(50ms);
     for (auto& daemon : daemons) {
+      if (daemon->paused_rounds > 0) {
+        --daemon->paused_rounds;
+        continue;
+      }
       daemon->stream->tick(clock.now());
       slow.run_some(random_index(random, 4));
     }
@@ -96,14 +101,19 @@
     if (random_index(random, 3) == 0) {
       log.faults = {static_cast<Fault>(random_index(random, 6))};
     }
-    if (random_index(random, 50) == 0) {
+    if (random_index(random, log.out ? 20 : 200) == 0) {
       log.out = !log.out;
     }
     if (random_index(random, 30) == 0) {
       log.deliver_late();
     }
-    if (log.entries.size() > 200) {
-      log.trim_to(log.next() - 150);
+    if (log.entries.size() > 60) {
+      log.trim_to(log.next() - 45);
+    }
+    // The first daemon never pauses, so that some daemon can always write a snapshot.
+    auto& daemon = *daemons[1 + random_index(random, daemons.size() - 1)];
+    if (random_index(random, 500) == 0) {
+      daemon.paused_rounds = random_index(random, 1'500);
     }
   }
 
@@ -130,11 +140,12 @@
 // Guards against records that are lost, doubled or reordered between daemons, and against streams
 // that stay stuck after the log has recovered.
 Test(stream_faults, all_daemons_agree_and_nothing_is_lost) {
+  std::uint64_t snapshots_loaded = 0;
   for (std::uint64_t seed = 1; seed <= 40; ++seed) {
     Fleet fleet(seed);
-    for (int round = 0; round < 1'500; ++round) {
+    for (int round = 0; round < 3'000; ++round) {
       fleet.misbehave();
-      if (round % 5 == 0) {
+      if (round % 4 == 0) {
         fleet.propose();
       }
       fleet.step();
@@ -142,13 +153,14 @@
     fleet.log.out = false;
     fleet.log.faults.clear();
     fleet.log.deliver_late();
-    for (int round = 0; round < 1'500; ++round) {
+    for (int round = 0; round < 3'000; ++round) {
       fleet.step();
     }
     std::uint64_t succeeded = 0;
     const std::string expected = fleet.daemons[0]->handler.state->snapshot().SerializeAsString();
     for (const auto& daemon : fleet.daemons) {
       succeeded += daemon->succeeded;
+      snapshots_loaded += daemon->stream->stats().snapshots_loaded;
       cr_assert(daemon->stream->stats().stopped_reason.empty());
       cr_assert_not(daemon->stream->stats().gap, "seed %d", static_cast<int>(seed));
       cr_assert(daemon->handler.state->snapshot().SerializeAsString() == expected, "seed %d",
@@ -158,4 +170,5 @@
                  static_cast<int>(succeeded), static_cast<int>(fleet.proposed));
     cr_assert_eq(fleet.daemons[0]->handler.state->plans().size(), fleet.proposed);
   }
+  cr_assert_gt(snapshots_loaded, 0U, "no daemon fell behind the log's trim horizon");
 }
