Reconcile VMs that come back after their loss; stop a holder whose incarnation has ended

A VM that was proved gone and came back before its loss was recorded had its task started a second time. A success on such a VM now counts, and its other attempt is stopped.

--- a/include/arbutusdale/batch/runner_model.hpp
+++ b/include/arbutusdale/batch/runner_model.hpp
@@ -68,6 +68,7 @@
   bool fenced = false;     // an answered stop bars every later start of this attempt
   bool reported = false;   // seen in a report, or its start was confirmed
   bool inherited = false;  // started under an earlier term
+  bool revived = false;    // reported as running after its loss was proved
   bool charged = false;    // counted in its team's use and its worker's occupied amount
   std::optional<TimePoint> missing_since;  // first report that should list it and did not
   std::uint32_t starts_sent = 0;
@@ -142,15 +143,15 @@
   WorkerInfo info;
   Access access = Access::unacquired;
   bool listed = false;
-  bool draining = false;        // leaving, or drained by the declaration
-  bool refuses_starts = false;  // answered LEAVING
-  bool full = false;            // answered NO_CAPACITY; until the next report
+  bool draining = false;  // leaving, or drained by the declaration
+  bool full = false;      // answered NO_CAPACITY; until the next report
   bool acquire_in_flight = false;
   bool report_in_flight = false;
   bool renew_in_flight = false;
   bool acknowledge_in_flight = false;
   bool reachable = true;
   std::optional<TimePoint> absent_since;  // first trusted list without it, or its last answer
+  TimePoint refused_until{};              // answered LEAVING; the VM list lags behind it
   TimePoint next_acquire{};
   TimePoint next_report{};
   TimePoint next_renew{};
--- a/src/arbutusdale/batch/runner_config.cpp
+++ b/src/arbutusdale/batch/runner_config.cpp
@@ -18,6 +18,11 @@
   if (m_stopped) {
     return;
   }
+  const state::ShardOwner owner = m_domain.shard(m_options.shard);
+  if (owner.term > m_options.term || (owner.term == m_options.term && !owner.owned)) {
+    stale();
+    return;
+  }
   cancel_jobs();
   const bool version_changed = !m_config_seen || m_global.version() != m_seen_version;
   if (version_changed) {
@@ -142,7 +147,6 @@
     pending += m_jobs.job(id).pending();
   }
   m_stats.pending = static_cast<std::uint32_t>(pending);
-  m_stats.takeover_complete = m_takeover_complete;
   m_stats.blocked = m_takeover_complete ? 0 : m_stats.pending;
   m_stats.workers_acquired = 0;
   m_stats.workers_unreachable = 0;
--- a/src/arbutusdale/batch/runner_progress.cpp
+++ b/src/arbutusdale/batch/runner_progress.cpp
@@ -102,10 +102,14 @@
              "stopped because the worker's lease lapsed");
       return;
     default:
-      end_as(ref, is_dropped(attempt.stop) ? Outcome::dropped : Outcome::evicted,
-             note_of(attempt.stop));
-      return;
+      break;
   }
+  if (attempt.stop == StopReason::unproved && !attempt.reported) {
+    end_as(ref, Outcome::lost, "start withdrawn because its answer was lost");
+    return;
+  }
+  end_as(ref, is_dropped(attempt.stop) ? Outcome::dropped : Outcome::evicted,
+         note_of(attempt.stop));
 }
 
 // The end of the attempt is proved. It stays in `live` until it is recorded, which keeps the task
@@ -267,6 +271,15 @@
   if (attempt == nullptr) {
     return;
   }
+  if (attempt->revived) {
+    // Recorded as lost, but it runs: the task stays with it until its stop is proved.
+    attempt->revived = false;
+    attempt->phase = AttemptPhase::running;
+    attempt->outcome = Outcome::none;
+    charge(ref, *attempt);
+    request_stop(ref, StopReason::unproved);
+    return;
+  }
   attempt->phase = AttemptPhase::recorded;
   Job& job = m_jobs.job(ref.key.job);
   WaitingTask next = m_jobs.recorded(job.name, ref.key.task);
--- a/src/arbutusdale/batch/runner_reports.cpp
+++ b/src/arbutusdale/batch/runner_reports.cpp
@@ -29,7 +29,8 @@
 void Runner::handle_report(WorkerSlot slot, std::uint64_t number,
                            const proto::platform::WorkerReport& report) {
   Worker& worker = m_workers[slot];
-  if (report.token() > m_options.term) {
+  // Without fencing the token that the agent reports means nothing.
+  if (m_options.agent_fencing && report.token() > m_options.term) {
     stale();
     return;
   }
@@ -38,7 +39,7 @@
       (same_boot && report.measured_at_ms() < worker.measured_at_ms)) {
     return;
   }
-  if (report.token() < m_options.term) {
+  if (m_options.agent_fencing && report.token() < m_options.term) {
     // The agent has lost its token, as after a restart; it must refuse earlier holders again.
     worker.access = Access::unacquired;
     worker.next_acquire = m_now;
@@ -142,6 +143,9 @@
     return;
   }
   if (attempt.phase == AttemptPhase::ended) {
+    // The VM was proved gone and came back before the loss was recorded.
+    attempt.revived =
+        attempt.outcome == Outcome::lost && report.state() == AttemptState::ATTEMPT_RUNNING;
     return;
   }
   attempt.used = platform::from_proto(report.used());
@@ -218,8 +222,10 @@
 
 void Runner::adopt_ended(const AttemptRef& ref, Attempt attempt, const AttemptReport& report) {
   Job& job = m_jobs.job(ref.key.job);
-  const bool known = m_jobs.is_recorded(job.name, ref.key.task, ref.key.attempt);
   const bool succeeded = report.state() == AttemptState::ATTEMPT_SUCCEEDED;
+  // A success counts even if its attempt was recorded as lost, as long as no other has succeeded.
+  const bool known = succeeded ? m_jobs.is_finished(job.name, ref.key.task)
+                               : m_jobs.is_recorded(job.name, ref.key.task, ref.key.attempt);
   const bool superseded = job.live.contains(ref.key.task) && !succeeded;
   attempt.phase = AttemptPhase::running;
   Worker& worker = m_workers[ref.worker];
--- a/src/arbutusdale/batch/runner_tasks.cpp
+++ b/src/arbutusdale/batch/runner_tasks.cpp
@@ -16,6 +16,8 @@
 constexpr std::uint32_t k_max_commands_per_tick = 200;
 constexpr std::uint32_t k_max_start_sends = 3;
 constexpr Duration k_command_retry = std::chrono::seconds{1};
+// The VM list names a leaving VM within seconds of its agent's first refusal.
+constexpr Duration k_leaving_pause = std::chrono::seconds{10};
 constexpr Duration k_miss_backoff = std::chrono::milliseconds{100};
 constexpr std::uint32_t k_max_miss_doublings = 3;
 constexpr double k_rack_weight = 1.0;
@@ -261,7 +263,7 @@
       worker.full = true;
       break;
     case AgentReply::LEAVING:
-      worker.refuses_starts = true;
+      worker.refused_until = m_now + k_leaving_pause;
       break;
     default:
       attempt->start_may_arrive = true;
--- a/src/arbutusdale/batch/runner_workers.cpp
+++ b/src/arbutusdale/batch/runner_workers.cpp
@@ -49,9 +49,6 @@
     worker.access = Access::unacquired;
     worker.next_acquire = m_now;
   }
-  if (!info.leaving) {
-    worker.refuses_starts = false;
-  }
   worker.draining = info.leaving || m_drains.contains(info.id);
   stop_drained(slot);
   update_node(slot);
@@ -316,7 +313,7 @@
 
 bool Runner::takes_starts(const Worker& worker) const {
   if (worker.access != Access::acquired || !worker.listed || !worker.reachable || worker.draining ||
-      worker.refuses_starts || worker.full) {
+      m_now < worker.refused_until || worker.full) {
     return false;
   }
   switch (worker.health.state(m_now, blame_on(worker))) {
--- a/src/arbutusdale/batch/shard_runner.cpp
+++ b/src/arbutusdale/batch/shard_runner.cpp
@@ -72,6 +72,7 @@
   };
   m_takeover_complete =
       m_options.agent_fencing || std::none_of(m_workers.begin(), m_workers.end(), runs_inherited);
+  m_stats.takeover_complete = m_takeover_complete;
 }
 
 void Runner::tick(TimePoint now) {
--- a/src/arbutusdale/batch/takeover_test.cpp
+++ b/src/arbutusdale/batch/takeover_test.cpp
@@ -58,13 +58,13 @@
   add_vms(world, 2);
   world.take_over();
   world.run(1s);
+  world.add_job(World::job("plan", 4));
   std::unique_ptr<ShardRunner> paused = std::move(world.runner);
   world.take_over();
-  world.run(1s);
-  world.add_job(World::job("plan", 4));
-  paused->state_changed(world.now);
+  world.step();
   paused->tick(world.now);
   world.agents.deliver();
+  cr_assert_gt(paused->stats().started, 0U, "the paused holder has sent starts");
   cr_assert_eq(world.agents.starts_run, 0U, "its token is refused");
   paused->tick(world.now + 60s);
   cr_assert(world.agents.vm("vm-1").token == world.options.term);
@@ -280,3 +280,121 @@
   cr_assert_eq(world.succeeded("plan"), 6U);
   cr_assert_eq(world.agents.starts_run, 5U);
 }
+
+// Guards against a holder that goes on after the log has ended its incarnation.
+Test(takeover, ended_holder_stops_by_itself) {
+  World world;
+  add_vms(world, 1);
+  world.take_over();
+  world.run(1s);
+  std::unique_ptr<ShardRunner> old = std::move(world.runner);
+  world.take_over();
+  old->state_changed(world.now);
+  world.agents.vm("vm-1").commands.clear();
+  old->tick(world.now + 60s);
+  world.agents.deliver();
+  cr_assert(world.agents.vm("vm-1").commands.empty());
+}
+
+// Guards against a takeover that trusts tokens which the platform does not compare.
+Test(takeover, without_fencing_waits_for_the_end_of_inherited_work) {
+  World world;
+  add_vms(world, 2);
+  world.take_over();
+  world.add_job(World::job("plan", 9));
+  world.run(2s);
+  world.options.agent_fencing = false;
+  world.take_over();
+  world.run(30s);
+  cr_assert_not(world.runner->stats().takeover_complete);
+  cr_assert_eq(world.agents.starts_run, 8U);
+  end_all(world, AttemptState::ATTEMPT_SUCCEEDED);
+  world.run(5s);
+  cr_assert(world.runner->stats().takeover_complete);
+  cr_assert_eq(world.agents.starts_run, 9U);
+}
+
+// Guards against a second run of a task whose VM comes back after it was proved gone, while the
+// record of the loss waits for the log.
+Test(loss, vm_returns_before_its_loss_is_recorded) {
+  World world;
+  add_vms(world, 2);
+  world.take_over();
+  world.add_job(World::job("plan", 4));
+  world.run(1s);
+  world.stream.out = true;
+  world.agents.vm("vm-2").reachable = false;
+  world.listed.erase("vm-2");
+  world.run(65s);
+  cr_assert_eq(world.runner->stats().lost, 2U);
+  world.agents.vm("vm-2").reachable = true;
+  world.listed.insert("vm-2");
+  world.run(5s);
+  world.stream.out = false;
+  world.run(10s);
+  cr_assert_eq(world.agents.running(), 4U);
+  cr_assert_eq(world.agents.most_at_once, 1U);
+}
+
+// Guards against a third run of a task that has succeeded on a VM which came back.
+Test(loss, success_on_a_returned_vm_counts) {
+  World world;
+  add_vms(world, 2);
+  world.take_over();
+  world.add_job(World::job("plan", 4));
+  world.run(1s);
+  world.agents.vm("vm-2").reachable = false;
+  world.listed.erase("vm-2");
+  world.run(70s);
+  world.agents.end("vm-2", AttemptState::ATTEMPT_SUCCEEDED);
+  world.agents.vm("vm-2").reachable = true;
+  world.listed.insert("vm-2");
+  world.run(4s);
+  cr_assert_eq(world.succeeded("plan"), 2U);
+  cr_assert_eq(world.agents.running(), 2U, "the second attempts are stopped");
+}
+
+// Guards against seeded faults without effect: the checker must be able to see each of them.
+Test(seeded_fault, acknowledge_before_record) {
+  World world;
+  add_vms(world, 1);
+  world.options.seeded_fault = SeededFault::acknowledge_before_record;
+  world.take_over();
+  world.add_job(World::job("plan", 2));
+  world.run(1s);
+  world.stream.out = true;
+  end_all(world, AttemptState::ATTEMPT_SUCCEEDED);
+  world.run(3s);
+  cr_assert(world.agents.vm("vm-1").attempts.empty());
+  cr_assert_eq(world.succeeded("plan"), 0U);
+}
+
+// Guards against a seeded fault without effect, as above.
+Test(seeded_fault, resume_without_stop_proof) {
+  World world;
+  add_vms(world, 2);
+  world.options.seeded_fault = SeededFault::resume_without_stop_proof;
+  world.take_over();
+  world.add_job(World::job("plan", 4));
+  world.run(1s);
+  world.agents.vm("vm-1").slow_stop = true;
+  proto::state::Declaration drains;
+  drains.add_drains("vm-1");
+  world.confirm(drains);
+  world.run(3s);
+  cr_assert_eq(world.agents.most_at_once, 2U);
+}
+
+// Guards against a seeded fault without effect, as above.
+Test(seeded_fault, start_cancelled) {
+  World world;
+  add_vms(world, 1);
+  world.options.seeded_fault = SeededFault::start_cancelled;
+  world.take_over();
+  world.add_job(World::job("plan", 8));
+  world.run(1s);
+  world.cancel("plan");
+  end_all(world, AttemptState::ATTEMPT_SUCCEEDED);
+  world.run(3s);
+  cr_assert_gt(world.agents.starts_run, 4U);
+}
