--- a/src/arbutusdale/batch/runner_test.cpp
+++ b/src/arbutusdale/batch/runner_test.cpp
@@ -91,6 +91,19 @@
   cr_assert_eq(world.runner->stats().running, 0U);
 }
 
+// Guards against a start between the cancellation and the call that tells the runner of it.
+Test(runner, cancellation_holds_at_once) {
+  World world;
+  world.add_vm("vm-1");
+  world.take_over();
+  world.add_job(World::job("plan", 8));
+  world.run(1s);
+  world.cancel("plan", false);
+  world.agents.end("vm-1", AttemptState::ATTEMPT_SUCCEEDED);
+  world.run(3s);
+  cr_assert_eq(world.agents.starts_run, 4U);
+}
+
 // Guards against a job that is cancelled after its start was sent and whose answer was lost.
 Test(runner, cancelled_while_its_start_is_unanswered) {
   World world;
--- a/src/arbutusdale/batch/takeover_test.cpp
+++ b/src/arbutusdale/batch/takeover_test.cpp
@@ -258,6 +258,49 @@
   cr_assert_eq(world.runner->stats().lost, 3U);
 }
 
+// Guards against an early duplicate of a start that reaches the VM after its restart, when the task
+// has long been started again elsewhere.
+Test(loss, duplicate_start_after_a_reboot) {
+  World world;
+  add_vms(world, 2);
+  world.take_over();
+  world.run(1s);
+  world.agents.vm("vm-1").delay_starts = true;
+  world.add_job(World::job("plan", 4));
+  world.run(300ms);
+  world.agents.vm("vm-1").delay_starts = false;
+  world.run(5s);
+  cr_assert_eq(world.agents.running(), 4U);
+  world.agents.reboot("vm-1");
+  for (int i = 0; i < 20; ++i) {
+    world.run(500ms);
+    if (i == 12) {
+      world.agents.deliver_delayed_starts("vm-1");
+    }
+  }
+  cr_assert_eq(world.agents.running(), 4U);
+  cr_assert_eq(world.agents.most_at_once, 1U);
+}
+
+// Guards against evicted work that loses its attempt number or checkpoint when the holder dies
+// between the record and the resumption.
+Test(takeover, resumes_evicted_work_of_a_dead_holder) {
+  World world;
+  add_vms(world, 1);
+  world.take_over();
+  world.add_job(World::job("plan", 2));
+  world.run(1s);
+  world.agents.vm("vm-1").info.leaving = true;
+  world.run(5s);
+  cr_assert_eq(world.agents.running(), 0U);
+  world.agents.vm("vm-1").info.leaving = false;
+  world.take_over();
+  world.run(3s);
+  cr_assert_eq(world.agents.running(), 2U);
+  cr_assert_eq(world.agents.started.back().attempt(), 2U);
+  cr_assert(world.agents.started.back().checkpoint() == "checkpoint-1");
+}
+
 // Guards against a worker that joins later and gets tasks before it knows the token, and against
 // a second run of the tasks that it brings along.
 Test(loss, late_worker_is_acquired_and_reconciled) {
--- a/src/arbutusdale/batch/test_world.hpp
+++ b/src/arbutusdale/batch/test_world.hpp
@@ -389,10 +389,10 @@
     apply_global(decided);
   }
 
-  void cancel(const std::string& job) {
+  void cancel(const std::string& job, bool tell_runner = true) {
     proto::state::Record record;
     record.mutable_job_cancelled()->set_job(job);
-    apply_global(record);
+    apply_global(record, tell_runner);
   }
 
   void add_vm(const std::string& id, Resources capacity = {4'000, 4'096, 0},
@@ -490,11 +490,11 @@
   std::unique_ptr<ShardRunner> runner;
 
  private:
-  void apply_global(proto::state::Record record) {
+  void apply_global(proto::state::Record record, bool tell_runner = true) {
     record.set_id("global-" + std::to_string(++m_global_offset));
     record.set_format(state::k_record_format);
     (void)global->apply(m_global_offset, record);
-    if (runner) {
+    if (runner && tell_runner) {
       runner->state_changed(now);
     }
   }
