--- a/include/arbutusdale/batch/runner.hpp
+++ b/include/arbutusdale/batch/runner.hpp
@@ -113,6 +113,23 @@
   void recharge(const AttemptRef& ref, Attempt& attempt);
   void release(const AttemptRef& ref, Attempt& attempt);
 
+  // Room for jobs that find no worker (runner_room.cpp).
+  struct Eviction {
+    struct Victim {
+      AttemptKey key;
+      Resources amount;
+      double cost = 0;
+    };
+    std::vector<Victim> victims;
+    double cost = 0;
+  };
+  void make_room(JobId id, const Resources& need);
+  void reserve_emptiest(JobId id, const Resources& need);
+  void evict_for(JobId id, const Resources& need);
+  [[nodiscard]] std::optional<Eviction> plan_eviction(WorkerSlot slot, const Resources& need) const;
+  [[nodiscard]] bool is_reserved_for_other(const Worker& worker, JobId id) const;
+  [[nodiscard]] std::size_t reservations_of(std::optional<JobId> id) const;
+
   // Services and health of workers (runner_services.cpp).
   void set_share(Worker& worker, Attempt& attempt, double share);
   void note_services(WorkerSlot slot, const proto::platform::WorkerReport& report);
@@ -174,6 +191,7 @@
   std::set<std::string> m_drains;
   Resources m_largest;  // largest amounts that some worker can give
 
+  WorkerSlot m_room_cursor = 0;  // last worker looked at for an eviction
   InterferenceModel m_interference;
   std::map<std::string, double> m_targets_ms;  // p99 target by service
   /// Workers on which a class of unknown effect runs beside a service to be observed.
--- a/include/arbutusdale/batch/runner_model.hpp
+++ b/include/arbutusdale/batch/runner_model.hpp
@@ -48,7 +48,15 @@
 };
 
 /// Why an attempt is stopped; `unproved` bars a start whose answer was lost.
-enum class StopReason : std::uint8_t { none, cancelled, drained, evicted, duplicate, unproved };
+enum class StopReason : std::uint8_t {
+  none,
+  cancelled,
+  drained,
+  evicted,
+  preempted,
+  duplicate,
+  unproved
+};
 
 /// Why no task of a job starts now.
 enum class WaitReason : std::uint8_t { none, no_worker_fits, services_under_pressure };
@@ -171,6 +179,8 @@
   std::map<ClassId, double> class_shares;     // shares of the attempts charged now
   std::map<ClassId, double> measured_shares;  // shares at the last measurement
   WorkerHealth health;
+  std::optional<JobId> reserved_for;  // takes only this job until `reserved_until`
+  TimePoint reserved_until{};
 };
 
 }  // namespace arbutusdale::batch
--- a/src/arbutusdale/batch/runner_progress.cpp
+++ b/src/arbutusdale/batch/runner_progress.cpp
@@ -42,6 +42,8 @@
       return "moved because its VM is drained or leaving";
     case StopReason::evicted:
       return "evicted because a service on its VM missed its target";
+    case StopReason::preempted:
+      return "evicted to make room for urgent work";
     default:
       return "stopped by its agent";
   }
@@ -130,7 +132,8 @@
       ++m_stats.failed;
       break;
     case Outcome::evicted:
-      m_stats.evictions += attempt.stop == StopReason::evicted ? 1 : 0;
+      m_stats.evictions +=
+          attempt.stop == StopReason::evicted || attempt.stop == StopReason::preempted ? 1 : 0;
       break;
     case Outcome::lost:
       ++m_stats.lost;
--- a/src/arbutusdale/batch/runner_tasks.cpp
+++ b/src/arbutusdale/batch/runner_tasks.cpp
@@ -160,6 +160,9 @@
     if (avoid && std::find(failed.begin(), failed.end(), worker.info.id) != failed.end()) {
       return std::nullopt;
     }
+    if (is_reserved_for_other(worker, id)) {
+      return std::nullopt;
+    }
     const std::optional<double> interference = interference_cost(slot, job, need);
     if (!interference) {
       m_ruled_out_by_service = true;
@@ -187,10 +190,12 @@
     job.reason =
         m_ruled_out_by_service ? WaitReason::services_under_pressure : WaitReason::no_worker_fits;
     const std::uint32_t doublings = std::min(job.misses++, k_max_miss_doublings);
+    make_room(id, need);
     m_queue.defer(id, m_now + k_miss_backoff * (job.decl.urgent() ? 1 : 1 << doublings));
     return false;
   }
   job.misses = 0;
+  m_workers[*slot].reserved_for.reset();
   job.reason = WaitReason::none;
   const AttemptRef ref{*slot, {id, taken->task, taken->state.attempt}};
   Attempt& attempt = m_workers[*slot].attempts[ref.key];
@@ -359,7 +364,8 @@
   if (!attempt->fenced) {
     need_attention(ref, *attempt);
   }
-  const bool resumes = reason == StopReason::evicted || reason == StopReason::drained;
+  const bool resumes = reason == StopReason::evicted || reason == StopReason::drained ||
+                       reason == StopReason::preempted;
   if (resumes && m_options.seeded_fault == SeededFault::resume_without_stop_proof) {
     WaitingTask next = m_jobs.recorded(m_jobs.job(ref.key.job).name, ref.key.task);
     next.attempt = ref.key.attempt + 1;
--- a/src/arbutusdale/batch/runner_test.cpp
+++ b/src/arbutusdale/batch/runner_test.cpp
@@ -250,3 +250,47 @@
   cr_assert_leq(world.runner->stats().throttles, 4U);
   cr_assert_eq(world.runner->stats().evictions, 0U);
 }
+
+// Guards against urgent work that waits for the end of other work on a full shard.
+Test(runner, urgent_work_makes_room) {
+  World world;
+  world.add_vm("vm-1");
+  world.add_vm("vm-2");
+  world.take_over();
+  world.add_job(World::job("bulk", 20));
+  world.run(3s);
+  cr_assert_eq(world.agents.running(), 8U);
+  auto urgent = World::job("urgent", 1, {2'000, 2'048, 0});
+  urgent.set_urgent(true);
+  world.add_job(urgent);
+  world.run(1500ms);
+  cr_assert_eq(world.agents.running("urgent", 0), 1U);
+  cr_assert_eq(world.runner->stats().evictions, 2U);
+  world.run(5s);
+  cr_assert_eq(world.runner->stats().evictions, 2U, "nothing more is evicted");
+  cr_assert_eq(world.agents.running(), 7U);
+}
+
+// Guards against a large task that small ones keep out for good.
+Test(runner, large_task_is_not_starved) {
+  World world;
+  world.add_vm("vm-1");
+  world.add_vm("vm-2");
+  world.take_over();
+  world.add_job(World::job("small", 2'000));
+  world.run(2s);
+  world.add_job(World::job("large", 1, {4'000, 4'096, 0}));
+  for (int i = 0; i < 60 && world.agents.running("large", 0) == 0; ++i) {
+    // One task of each VM ends at a time, so that no VM is ever empty by chance.
+    for (const std::string& id : world.listed) {
+      for (auto& [key, attempt] : world.agents.vm(id).attempts) {
+        if (attempt.state() == AttemptState::ATTEMPT_RUNNING) {
+          attempt.set_state(AttemptState::ATTEMPT_SUCCEEDED);
+          break;
+        }
+      }
+    }
+    world.run(1s);
+  }
+  cr_assert_eq(world.agents.running("large", 0), 1U);
+}
