--- a/include/arbutusdale/batch/job_table.hpp
+++ b/include/arbutusdale/batch/job_table.hpp
@@ -27,7 +27,11 @@
 
   [[nodiscard]] Job& job(JobId id) { return *m_jobs.at(id); }
   [[nodiscard]] const Job& job(JobId id) const { return *m_jobs.at(id); }
-  [[nodiscard]] std::size_t size() const { return m_jobs.size(); }
+  [[nodiscard]] bool exists(JobId id) const { return id < m_jobs.size() && m_jobs[id]; }
+  /// Number of ids given out; ids are not used again.
+  [[nodiscard]] std::size_t ids() const { return m_jobs.size(); }
+  /// Forgets a job that nothing refers to any more.
+  void drop(JobId id);
   [[nodiscard]] std::optional<JobId> find(const std::string& name) const;
 
   /// Id of the job; a job that no declaration names yet is added as undeclared.
--- a/include/arbutusdale/batch/runner.hpp
+++ b/include/arbutusdale/batch/runner.hpp
@@ -147,6 +147,7 @@
 
   // Configuration (runner_config.cpp).
   void scan_declaration();
+  void drop_ended_jobs();
   void cancel_jobs();
   void cancel_job(JobId id);
   void update_shares();
@@ -207,7 +208,11 @@
   std::uint64_t m_seen_version = 0;
   bool m_config_seen = false;
   std::size_t m_seen_moves = 0;
-  int m_scan_next = -1;  // index into the declaration's jobs, -1 when no scan is under way
+  int m_scan_next = -1;       // index into the declaration's jobs, -1 when no scan is under way
+  bool m_scan_again = false;  // after the scan under way
+  bool m_scan_all = true;     // also the jobs whose declaration has not changed
+  std::unordered_map<std::string, std::uint64_t> m_scanned;  // job -> version taken over
+  std::size_t m_ids_at_last_drop = 0;
   TimePoint m_next_recount{};
   ShardStats m_stats;
 };
--- a/src/arbutusdale/batch/job_table.cpp
+++ b/src/arbutusdale/batch/job_table.cpp
@@ -47,6 +47,11 @@
   return found->second;
 }
 
+void JobTable::drop(JobId id) {
+  m_ids.erase(m_jobs.at(id)->name);
+  m_jobs[id].reset();
+}
+
 ClassId JobTable::class_of(const std::string& name) {
   return m_classes.try_emplace(name, static_cast<ClassId>(m_classes.size())).first->second;
 }
--- a/src/arbutusdale/batch/runner_config.cpp
+++ b/src/arbutusdale/batch/runner_config.cpp
@@ -9,6 +9,7 @@
 
 // Jobs looked at in one tick; a declaration of 100,000 jobs is taken over in 5 s.
 constexpr int k_max_jobs_scanned_per_tick = 1'000;
+constexpr std::size_t k_jobs_between_drops = 1'000;
 constexpr Duration k_recount_interval = std::chrono::milliseconds{500};
 
 }  // namespace
@@ -32,8 +33,11 @@
     update_drains();
   }
   if (version_changed || m_domain.moves().size() != m_seen_moves) {
+    m_scan_all |= m_domain.moves().size() != m_seen_moves;
     m_seen_moves = m_domain.moves().size();
-    m_scan_next = 0;
+    // A scan under way is finished first, so that frequent changes cannot keep it from the end.
+    m_scan_again = m_scan_next >= 0;
+    m_scan_next = std::max(0, m_scan_next);
   }
 }
 
@@ -106,17 +110,52 @@
   const int end = std::min(jobs.size(), m_scan_next + k_max_jobs_scanned_per_tick);
   for (; m_scan_next < end; ++m_scan_next) {
     const proto::state::JobDecl& decl = jobs[m_scan_next];
-    if (m_global.is_cancelled(decl.name())) {
+    const std::uint64_t version = m_global.object_version("job", decl.name());
+    std::uint64_t& scanned = m_scanned[decl.name()];
+    if ((!m_scan_all && scanned == version) || m_global.is_cancelled(decl.name())) {
       continue;
     }
+    scanned = version;
     const std::optional<JobId> id = m_jobs.declare(decl);
     if (id) {
       refresh_queue(*id);
     }
   }
   if (m_scan_next >= jobs.size()) {
-    m_scan_next = -1;
+    m_scan_next = m_scan_again ? 0 : -1;
+    m_scan_all &= m_scan_again;
+    m_scan_again = false;
+    if (m_jobs.ids() >= m_ids_at_last_drop + k_jobs_between_drops) {
+      drop_ended_jobs();
+    }
+  }
+}
+
+// Jobs that have left the declaration and have no task or attempt here. At 100,000 jobs a day the
+// table would otherwise grow without bound.
+void Runner::drop_ended_jobs() {
+  std::set<JobId> used = m_active;
+  for (const Worker& worker : m_workers) {
+    for (const auto& [key, attempt] : worker.attempts) {
+      used.insert(key.job);
+    }
+  }
+  const std::unordered_map<std::string, std::uint64_t> scanned = std::exchange(m_scanned, {});
+  for (const proto::state::JobDecl& decl : m_global.declaration().jobs()) {
+    if (const auto found = scanned.find(decl.name()); found != scanned.end()) {
+      m_scanned.insert(*found);
+    }
+    if (const std::optional<JobId> id = m_jobs.find(decl.name())) {
+      used.insert(*id);
+    }
+  }
+  for (JobId id = 0; id < m_jobs.ids(); ++id) {
+    if (m_jobs.exists(id) && !used.contains(id)) {
+      m_queue.remove(id);
+      m_jobs.drop(id);
+    }
   }
+  m_ids_at_last_drop = m_jobs.ids();
 }
 
 void Runner::refresh_queue(JobId id) {
--- a/src/arbutusdale/batch/runner_services.cpp
+++ b/src/arbutusdale/batch/runner_services.cpp
@@ -188,6 +188,9 @@
 
 WorkerHealth::BlameOf Runner::blame_on(const Worker& worker) const {
   return [this, &worker](std::uint32_t id) {
+    if (!m_jobs.exists(id)) {
+      return Blame::unclear;
+    }
     const JobTries& tries = m_jobs.job(id).tries;
     const std::size_t here = tries.succeeded_workers.contains(worker.info.id) ? 1 : 0;
     if (tries.succeeded_workers.size() > here) {
