--- a/include/arbutusdale/batch/runner_model.hpp
+++ b/include/arbutusdale/batch/runner_model.hpp
@@ -90,8 +90,11 @@
   Resources committed;  // named in the start command
   Resources charged_amount;
   Resources used;
-  ClassId job_class = 0;  // as charged
-  double share = 0;       // of the worker's processors, as charged
+  // As charged; the declaration and the VM list may change before the release.
+  std::string team;
+  std::string rack;
+  ClassId job_class = 0;
+  double share = 0;  // of the worker's processors
   std::uint64_t run_ms = 0;
   TimePoint started{};
   TimePoint next_command{};  // earliest time of the next command, after a failed one
--- a/src/arbutusdale/batch/decisions_test.cpp
+++ b/src/arbutusdale/batch/decisions_test.cpp
@@ -175,6 +175,11 @@
   cr_assert(decide_pressure(input, model, limits, {}).action == PressureAction::none);
   input.calm_reports = 3;
   cr_assert(decide_pressure(input, model, limits, {}).action == PressureAction::relax);
+  input.services.front().p99_ratio = 0.85;
+  input.calm_reports = 0;
+  cr_assert(decide_pressure(input, model, limits, {}).action == PressureAction::none);
+  const PressureLimits early = pressure_limits(Weighting::latency);
+  cr_assert(decide_pressure(input, model, early, {}).action == PressureAction::evict);
   BatchPolicies newest;
   newest.eviction = EvictionPolicy::newest;
   input.services.front().p99_ratio = 1.2;
--- a/src/arbutusdale/batch/runner_config.cpp
+++ b/src/arbutusdale/batch/runner_config.cpp
@@ -118,6 +118,8 @@
     scanned = version;
     const std::optional<JobId> id = m_jobs.declare(decl);
     if (id) {
+      // Team, priority or urgency may have changed.
+      m_queue.remove(*id);
       refresh_queue(*id);
     }
   }
--- a/src/arbutusdale/batch/runner_tasks.cpp
+++ b/src/arbutusdale/batch/runner_tasks.cpp
@@ -68,10 +68,12 @@
   attempt.charged = true;
   attempt.charged_amount = attempt.committed;
   worker.occupied = plus(worker.occupied, attempt.committed);
-  m_queue.charge(job.decl.team(), attempt.committed);
+  attempt.team = job.decl.team();
+  attempt.rack = worker.info.rack;
+  m_queue.charge(attempt.team, attempt.committed);
   attempt.job_class = job.job_class;
   set_share(worker, attempt, share_of(attempt.committed, worker.capacity));
-  ++job.racks[worker.info.rack];
+  ++job.racks[attempt.rack];
   ++m_stats.running;
   update_node(ref.worker);
 }
@@ -104,9 +106,9 @@
   Job& job = m_jobs.job(ref.key.job);
   worker.occupied = minus(worker.occupied, attempt.charged_amount);
   set_share(worker, attempt, 0);
-  m_queue.release(job.decl.team(), attempt.committed);
-  if (--job.racks[worker.info.rack] == 0) {
-    job.racks.erase(worker.info.rack);
+  m_queue.release(attempt.team, attempt.committed);
+  if (--job.racks[attempt.rack] == 0) {
+    job.racks.erase(attempt.rack);
   }
   --m_stats.running;
   update_node(ref.worker);
--- a/src/arbutusdale/batch/runner_test.cpp
+++ b/src/arbutusdale/batch/runner_test.cpp
@@ -294,3 +294,35 @@
   }
   cr_assert_eq(world.agents.running("large", 0), 1U);
 }
+
+// Guards against a job of unknown effect that is spread over all services before it was observed,
+// and against one that stays confined once it is known to be harmless.
+Test(runner, unknown_class_is_explored_on_few_workers) {
+  World world;
+  proto::state::Declaration declaration;
+  auto& service = *declaration.add_services();
+  service.set_name("web");
+  service.set_vm_prefix("web-");
+  service.set_p99_target_ms(100);
+  world.confirm(declaration);
+  for (int i = 0; i < 8; ++i) {
+    const std::string id = "web-" + std::to_string(i);
+    world.add_vm(id, {8'000, 8'192, 0}, "rack-" + std::to_string(i));
+    auto& report = world.agents.vm(id).services.emplace_back();
+    report.set_service("web");
+    report.set_load(0.5);
+    report.set_p99_ms(30);
+  }
+  world.take_over();
+  world.run(2s);
+  world.add_job(World::job("plan", 40, {1'000, 512, 0}));
+  world.run(1s);
+  const auto used = [&world] {
+    return std::count_if(world.listed.begin(), world.listed.end(),
+                         [&world](const auto& id) { return world.agents.running_on(id) > 0; });
+  };
+  cr_assert_eq(used(), 2);
+  world.run(30s);
+  cr_assert_eq(used(), 8);
+  cr_assert_eq(world.agents.running(), 40U);
+}
--- a/src/arbutusdale/batch/test_world.hpp
+++ b/src/arbutusdale/batch/test_world.hpp
@@ -299,7 +299,9 @@
       item = attempt;
       if (attempt.state() == AttemptState::ATTEMPT_RUNNING) {
         item.set_run_ms(5'000);
-        *item.mutable_used() = platform::to_proto(target.task_use);
+        if (!is_zero(target.task_use)) {
+          *item.mutable_used() = platform::to_proto(target.task_use);
+        }
       }
     }
     for (const auto& service : target.services) {
