--- a/include/arbutusdale/batch/runner.hpp
+++ b/include/arbutusdale/batch/runner.hpp
@@ -113,6 +113,23 @@
   void recharge(const AttemptRef& ref, Attempt& attempt);
   void release(const AttemptRef& ref, Attempt& attempt);
 
+  // Room for jobs that find no worker (runner_room.cpp).
+  struct Eviction {
+    struct Victim {
+      AttemptKey key;
+      Resources amount;
+      double cost = 0;
+    };
+    std::vector<Victim> victims;
+    double cost = 0;
+  };
+  void make_room(JobId id, const Resources& need);
+  void reserve_emptiest(JobId id, const Resources& need);
+  void evict_for(JobId id, const Resources& need);
+  [[nodiscard]] std::optional<Eviction> plan_eviction(WorkerSlot slot, const Resources& need) const;
+  [[nodiscard]] bool is_reserved_for_other(const Worker& worker, JobId id) const;
+  [[nodiscard]] std::size_t reservations_of(std::optional<JobId> id) const;
+
   // Services and health of workers (runner_services.cpp).
   void set_share(Worker& worker, Attempt& attempt, double share);
   void note_services(WorkerSlot slot, const proto::platform::WorkerReport& report);
@@ -130,6 +147,7 @@
 
   // Configuration (runner_config.cpp).
   void scan_declaration();
+  void drop_ended_jobs();
   void cancel_jobs();
   void cancel_job(JobId id);
   void update_shares();
@@ -174,6 +192,7 @@
   std::set<std::string> m_drains;
   Resources m_largest;  // largest amounts that some worker can give
 
+  WorkerSlot m_room_cursor = 0;  // last worker looked at for an eviction
   InterferenceModel m_interference;
   std::map<std::string, double> m_targets_ms;  // p99 target by service
   /// Workers on which a class of unknown effect runs beside a service to be observed.
@@ -189,7 +208,11 @@
   std::uint64_t m_seen_version = 0;
   bool m_config_seen = false;
   std::size_t m_seen_moves = 0;
-  int m_scan_next = -1;  // index into the declaration's jobs, -1 when no scan is under way
+  int m_scan_next = -1;       // index into the declaration's jobs, -1 when no scan is under way
+  bool m_scan_again = false;  // after the scan under way
+  bool m_scan_all = true;     // also the jobs whose declaration has not changed
+  std::unordered_map<std::string, std::uint64_t> m_scanned;  // job -> version taken over
+  std::size_t m_ids_at_last_drop = 0;
   TimePoint m_next_recount{};
   ShardStats m_stats;
 };
--- a/include/arbutusdale/batch/runner_model.hpp
+++ b/include/arbutusdale/batch/runner_model.hpp
@@ -48,7 +48,15 @@
 };
 
 /// Why an attempt is stopped; `unproved` bars a start whose answer was lost.
-enum class StopReason : std::uint8_t { none, cancelled, drained, evicted, duplicate, unproved };
+enum class StopReason : std::uint8_t {
+  none,
+  cancelled,
+  drained,
+  evicted,
+  preempted,
+  duplicate,
+  unproved
+};
 
 /// Why no task of a job starts now.
 enum class WaitReason : std::uint8_t { none, no_worker_fits, services_under_pressure };
@@ -68,6 +76,7 @@
   bool fenced = false;     // an answered stop bars every later start of this attempt
   bool reported = false;   // seen in a report, or its start was confirmed
   bool inherited = false;  // started under an earlier term
+  bool revived = false;    // reported as running after its loss was proved
   bool charged = false;    // counted in its team's use and its worker's occupied amount
   std::optional<TimePoint> missing_since;  // first report that should list it and did not
   std::uint32_t starts_sent = 0;
@@ -81,8 +90,11 @@
   Resources committed;  // named in the start command
   Resources charged_amount;
   Resources used;
-  ClassId job_class = 0;  // as charged
-  double share = 0;       // of the worker's processors, as charged
+  // As charged; the declaration and the VM list may change before the release.
+  std::string team;
+  std::string rack;
+  ClassId job_class = 0;
+  double share = 0;  // of the worker's processors
   std::uint64_t run_ms = 0;
   TimePoint started{};
   TimePoint next_command{};  // earliest time of the next command, after a failed one
@@ -142,15 +154,15 @@
   WorkerInfo info;
   Access access = Access::unacquired;
   bool listed = false;
-  bool draining = false;        // leaving, or drained by the declaration
-  bool refuses_starts = false;  // answered LEAVING
-  bool full = false;            // answered NO_CAPACITY; until the next report
+  bool draining = false;  // leaving, or drained by the declaration
+  bool full = false;      // answered NO_CAPACITY; until the next report
   bool acquire_in_flight = false;
   bool report_in_flight = false;
   bool renew_in_flight = false;
   bool acknowledge_in_flight = false;
   bool reachable = true;
   std::optional<TimePoint> absent_since;  // first trusted list without it, or its last answer
+  TimePoint refused_until{};              // answered LEAVING; the VM list lags behind it
   TimePoint next_acquire{};
   TimePoint next_report{};
   TimePoint next_renew{};
@@ -170,6 +182,8 @@
   std::map<ClassId, double> class_shares;     // shares of the attempts charged now
   std::map<ClassId, double> measured_shares;  // shares at the last measurement
   WorkerHealth health;
+  std::optional<JobId> reserved_for;  // takes only this job until `reserved_until`
+  TimePoint reserved_until{};
 };
 
 }  // namespace arbutusdale::batch
--- a/src/arbutusdale/batch/runner_progress.cpp
+++ b/src/arbutusdale/batch/runner_progress.cpp
@@ -42,6 +42,8 @@
       return "moved because its VM is drained or leaving";
     case StopReason::evicted:
       return "evicted because a service on its VM missed its target";
+    case StopReason::preempted:
+      return "evicted to make room for urgent work";
     default:
       return "stopped by its agent";
   }
@@ -102,10 +104,14 @@
              "stopped because the worker's lease lapsed");
       return;
     default:
-      end_as(ref, is_dropped(attempt.stop) ? Outcome::dropped : Outcome::evicted,
-             note_of(attempt.stop));
-      return;
+      break;
   }
+  if (attempt.stop == StopReason::unproved && !attempt.reported) {
+    end_as(ref, Outcome::lost, "start withdrawn because its answer was lost");
+    return;
+  }
+  end_as(ref, is_dropped(attempt.stop) ? Outcome::dropped : Outcome::evicted,
+         note_of(attempt.stop));
 }
 
 // The end of the attempt is proved. It stays in `live` until it is recorded, which keeps the task
@@ -126,7 +132,8 @@
       ++m_stats.failed;
       break;
     case Outcome::evicted:
-      m_stats.evictions += attempt.stop == StopReason::evicted ? 1 : 0;
+      m_stats.evictions +=
+          attempt.stop == StopReason::evicted || attempt.stop == StopReason::preempted ? 1 : 0;
       break;
     case Outcome::lost:
       ++m_stats.lost;
@@ -267,6 +274,15 @@
   if (attempt == nullptr) {
     return;
   }
+  if (attempt->revived) {
+    // Recorded as lost, but it runs: the task stays with it until its stop is proved.
+    attempt->revived = false;
+    attempt->phase = AttemptPhase::running;
+    attempt->outcome = Outcome::none;
+    charge(ref, *attempt);
+    request_stop(ref, StopReason::unproved);
+    return;
+  }
   attempt->phase = AttemptPhase::recorded;
   Job& job = m_jobs.job(ref.key.job);
   WaitingTask next = m_jobs.recorded(job.name, ref.key.task);
--- a/src/arbutusdale/batch/runner_tasks.cpp
+++ b/src/arbutusdale/batch/runner_tasks.cpp
@@ -16,6 +16,8 @@
 constexpr std::uint32_t k_max_commands_per_tick = 200;
 constexpr std::uint32_t k_max_start_sends = 3;
 constexpr Duration k_command_retry = std::chrono::seconds{1};
+// The VM list names a leaving VM within seconds of its agent's first refusal.
+constexpr Duration k_leaving_pause = std::chrono::seconds{10};
 constexpr Duration k_miss_backoff = std::chrono::milliseconds{100};
 constexpr std::uint32_t k_max_miss_doublings = 3;
 constexpr double k_rack_weight = 1.0;
@@ -66,10 +68,12 @@
   attempt.charged = true;
   attempt.charged_amount = attempt.committed;
   worker.occupied = plus(worker.occupied, attempt.committed);
-  m_queue.charge(job.decl.team(), attempt.committed);
+  attempt.team = job.decl.team();
+  attempt.rack = worker.info.rack;
+  m_queue.charge(attempt.team, attempt.committed);
   attempt.job_class = job.job_class;
   set_share(worker, attempt, share_of(attempt.committed, worker.capacity));
-  ++job.racks[worker.info.rack];
+  ++job.racks[attempt.rack];
   ++m_stats.running;
   update_node(ref.worker);
 }
@@ -102,9 +106,9 @@
   Job& job = m_jobs.job(ref.key.job);
   worker.occupied = minus(worker.occupied, attempt.charged_amount);
   set_share(worker, attempt, 0);
-  m_queue.release(job.decl.team(), attempt.committed);
-  if (--job.racks[worker.info.rack] == 0) {
-    job.racks.erase(worker.info.rack);
+  m_queue.release(attempt.team, attempt.committed);
+  if (--job.racks[attempt.rack] == 0) {
+    job.racks.erase(attempt.rack);
   }
   --m_stats.running;
   update_node(ref.worker);
@@ -158,6 +162,9 @@
     if (avoid && std::find(failed.begin(), failed.end(), worker.info.id) != failed.end()) {
       return std::nullopt;
     }
+    if (is_reserved_for_other(worker, id)) {
+      return std::nullopt;
+    }
     const std::optional<double> interference = interference_cost(slot, job, need);
     if (!interference) {
       m_ruled_out_by_service = true;
@@ -185,10 +192,12 @@
     job.reason =
         m_ruled_out_by_service ? WaitReason::services_under_pressure : WaitReason::no_worker_fits;
     const std::uint32_t doublings = std::min(job.misses++, k_max_miss_doublings);
+    make_room(id, need);
     m_queue.defer(id, m_now + k_miss_backoff * (job.decl.urgent() ? 1 : 1 << doublings));
     return false;
   }
   job.misses = 0;
+  m_workers[*slot].reserved_for.reset();
   job.reason = WaitReason::none;
   const AttemptRef ref{*slot, {id, taken->task, taken->state.attempt}};
   Attempt& attempt = m_workers[*slot].attempts[ref.key];
@@ -261,7 +270,7 @@
       worker.full = true;
       break;
     case AgentReply::LEAVING:
-      worker.refuses_starts = true;
+      worker.refused_until = m_now + k_leaving_pause;
       break;
     default:
       attempt->start_may_arrive = true;
@@ -357,7 +366,8 @@
   if (!attempt->fenced) {
     need_attention(ref, *attempt);
   }
-  const bool resumes = reason == StopReason::evicted || reason == StopReason::drained;
+  const bool resumes = reason == StopReason::evicted || reason == StopReason::drained ||
+                       reason == StopReason::preempted;
   if (resumes && m_options.seeded_fault == SeededFault::resume_without_stop_proof) {
     WaitingTask next = m_jobs.recorded(m_jobs.job(ref.key.job).name, ref.key.task);
     next.attempt = ref.key.attempt + 1;
--- a/src/arbutusdale/batch/runner_test.cpp
+++ b/src/arbutusdale/batch/runner_test.cpp
@@ -91,6 +91,19 @@
   cr_assert_eq(world.runner->stats().running, 0U);
 }
 
+// Guards against a start between the cancellation and the call that tells the runner of it.
+Test(runner, cancellation_holds_at_once) {
+  World world;
+  world.add_vm("vm-1");
+  world.take_over();
+  world.add_job(World::job("plan", 8));
+  world.run(1s);
+  world.cancel("plan", false);
+  world.agents.end("vm-1", AttemptState::ATTEMPT_SUCCEEDED);
+  world.run(3s);
+  cr_assert_eq(world.agents.starts_run, 4U);
+}
+
 // Guards against a job that is cancelled after its start was sent and whose answer was lost.
 Test(runner, cancelled_while_its_start_is_unanswered) {
   World world;
@@ -237,3 +250,79 @@
   cr_assert_leq(world.runner->stats().throttles, 4U);
   cr_assert_eq(world.runner->stats().evictions, 0U);
 }
+
+// Guards against urgent work that waits for the end of other work on a full shard.
+Test(runner, urgent_work_makes_room) {
+  World world;
+  world.add_vm("vm-1");
+  world.add_vm("vm-2");
+  world.take_over();
+  world.add_job(World::job("bulk", 20));
+  world.run(3s);
+  cr_assert_eq(world.agents.running(), 8U);
+  auto urgent = World::job("urgent", 1, {2'000, 2'048, 0});
+  urgent.set_urgent(true);
+  world.add_job(urgent);
+  world.run(1500ms);
+  cr_assert_eq(world.agents.running("urgent", 0), 1U);
+  cr_assert_eq(world.runner->stats().evictions, 2U);
+  world.run(5s);
+  cr_assert_eq(world.runner->stats().evictions, 2U, "nothing more is evicted");
+  cr_assert_eq(world.agents.running(), 7U);
+}
+
+// Guards against a large task that small ones keep out for good.
+Test(runner, large_task_is_not_starved) {
+  World world;
+  world.add_vm("vm-1");
+  world.add_vm("vm-2");
+  world.take_over();
+  world.add_job(World::job("small", 2'000));
+  world.run(2s);
+  world.add_job(World::job("large", 1, {4'000, 4'096, 0}));
+  for (int i = 0; i < 60 && world.agents.running("large", 0) == 0; ++i) {
+    // One task of each VM ends at a time, so that no VM is ever empty by chance.
+    for (const std::string& id : world.listed) {
+      for (auto& [key, attempt] : world.agents.vm(id).attempts) {
+        if (attempt.state() == AttemptState::ATTEMPT_RUNNING) {
+          attempt.set_state(AttemptState::ATTEMPT_SUCCEEDED);
+          break;
+        }
+      }
+    }
+    world.run(1s);
+  }
+  cr_assert_eq(world.agents.running("large", 0), 1U);
+}
+
+// Guards against a job of unknown effect that is spread over all services before it was observed,
+// and against one that stays confined once it is known to be harmless.
+Test(runner, unknown_class_is_explored_on_few_workers) {
+  World world;
+  proto::state::Declaration declaration;
+  auto& service = *declaration.add_services();
+  service.set_name("web");
+  service.set_vm_prefix("web-");
+  service.set_p99_target_ms(100);
+  world.confirm(declaration);
+  for (int i = 0; i < 8; ++i) {
+    const std::string id = "web-" + std::to_string(i);
+    world.add_vm(id, {8'000, 8'192, 0}, "rack-" + std::to_string(i));
+    auto& report = world.agents.vm(id).services.emplace_back();
+    report.set_service("web");
+    report.set_load(0.5);
+    report.set_p99_ms(30);
+  }
+  world.take_over();
+  world.run(2s);
+  world.add_job(World::job("plan", 40, {1'000, 512, 0}));
+  world.run(1s);
+  const auto used = [&world] {
+    return std::count_if(world.listed.begin(), world.listed.end(),
+                         [&world](const auto& id) { return world.agents.running_on(id) > 0; });
+  };
+  cr_assert_eq(used(), 2);
+  world.run(30s);
+  cr_assert_eq(used(), 8);
+  cr_assert_eq(world.agents.running(), 40U);
+}
