--- /dev/null
+++ b/src/arbutusdale/bench/queue_model.hpp
@@ -0,0 +1,71 @@
+// Queue model of one failure domain on a fake clock: open-loop callers, daemons that run the real
+// RequestRouter, and workers with slots and a queue of their own.
+#pragma once
+
+#include "arbutusdale/core/clock.hpp"
+#include "arbutusdale/routing/request_router.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace arbutusdale::bench {
+
+enum class Scenario : std::uint8_t {
+  steady,
+  slow_workers,   ///< some workers take a multiple of the time, for the whole run
+  waves,          ///< batch work slows a changing part of the workers
+  daemon_killed,  ///< one daemon dies in the middle of the run
+  total_failure,  ///< every target breaks the connection
+  failing_fast,   ///< some workers answer errors at once
+  team_calm,      ///< team a at `load`, team b at `load` as well; figures of team a only
+  team_surge,     ///< team a at `load`, team b at `surge`; figures of team a only
+};
+
+std::string_view to_string(Scenario scenario);
+std::optional<Scenario> scenario_of(std::string_view name);
+
+struct ModelOptions {
+  Scenario scenario = Scenario::steady;
+  routing::Policy policy = routing::Policy::slot_share;
+  double load = 0.8;  // arrivals as a share of the capacity of all slots
+  double surge = 2.0;
+  std::uint32_t daemons = 9;
+  std::uint32_t workers = 50;
+  std::uint32_t slots = 8;
+  Duration mean_service = std::chrono::milliseconds{20};
+  double spread = 0.0;  // sigma of log-normal service times; 0 for exponential ones
+  Duration deadline = std::chrono::seconds{1};
+  Duration link_delay{100};  // one way between daemon and worker, microseconds
+  Duration warm_up = std::chrono::seconds{5};
+  Duration measured = std::chrono::seconds{20};
+  double affected_share = 0.05;  // of workers that are slow or fail fast
+  double slow_factor = 4.0;
+  double wave_share = 0.2;  // of workers in a wave
+  double wave_factor = 2.5;
+  bool retry_budget = true;
+  std::uint64_t seed = 1;
+};
+
+/// Figures over calls that were due in the measured window; latency from the time a call was due.
+struct ModelResult {
+  double p50_ms = 0.0;
+  double p99_ms = 0.0;
+  double p999_ms = 0.0;
+  double goodput = 0.0;        // calls answered in time, as a share of the capacity
+  double refused = 0.0;        // share of calls refused or dropped before they were sent
+  double failed = 0.0;         // share of calls that ended in any other way without an answer
+  double amplification = 0.0;  // attempts per call that was sent at least once
+  double crowded = 0.0;        // share of attempts that waited for a slot at the worker
+  double affected = 0.0;       // share of the answered calls served by affected workers
+};
+
+/// Runs the model with the real router in every daemon.
+ModelResult run_model(const ModelOptions& options);
+
+/// Runs the same arrivals and service times with one ideal queue over all slots.
+ModelResult run_ideal(const ModelOptions& options);
+
+}  // namespace arbutusdale::bench
--- a/src/arbutusdale/routing/key_cluster_test.hpp
+++ b/src/arbutusdale/routing/key_cluster_test.hpp
@@ -175,7 +175,7 @@
   std::vector<StreamRecord> stream;
 
  private:
-  void apply(Process& process, const StreamRecord& record, bool own) {
+  void apply(Process& process, const StreamRecord& record, bool own) const {
     const auto current = view(process.read);
     process.table->set_shards(current.shards, now);
     std::vector<std::string> live;
--- a/src/arbutusdale/routing/key_property_test.cpp
+++ b/src/arbutusdale/routing/key_property_test.cpp
@@ -107,8 +107,9 @@
       return;
     }
     const auto key = "k" + std::to_string(draw(60));
-    process.table->request({"s", key, 1}, m_cluster.now,
-                           [this, name, key](KeyAnswer answer) { decided(name, key, answer); });
+    process.table->request(
+        {"s", key, 1}, m_cluster.now,
+        [this, name, key](const KeyAnswer& answer) { decided(name, key, answer); });
   }
 
   void decided(const std::string& name, const std::string& key, const KeyAnswer& answer) {
--- a/src/arbutusdale/routing/key_table_test.cpp
+++ b/src/arbutusdale/routing/key_table_test.cpp
@@ -207,7 +207,8 @@
   table->begin_term(0, 1, {}, now);
   const auto ask = [&](const std::string& key) {
     KeyDecision decision = KeyDecision::mismatch;
-    table->request(Fixture::call(key), now, [&](KeyAnswer result) { decision = result.decision; });
+    table->request(Fixture::call(key), now,
+                   [&](const KeyAnswer& result) { decision = result.decision; });
     return decision;
   };
   for (const auto* key : {"1", "2", "3"}) {
