Release shards in the key table's property test

Without releases no owner of an earlier term was alive and asked, so the owner's own promise after a query was never exercised.

--- a/src/arbutusdale/routing/key_cluster_test.hpp
+++ b/src/arbutusdale/routing/key_cluster_test.hpp
@@ -15,7 +15,7 @@
 
 /// Record of the stream. The offset is its index plus one, and the term of a claim.
 struct StreamRecord {
-  enum class Kind { joined, ended, claimed } kind = Kind::joined;
+  enum class Kind { joined, ended, claimed, released } kind = Kind::joined;
   std::string daemon;
   std::uint64_t incarnation = 0;
   std::uint32_t shard = 0;
@@ -72,6 +72,14 @@
     return true;
   }
 
+  /// Gives up a shard, when the stream says that the process holds it.
+  void release(const std::string& name, std::uint32_t shard) {
+    const auto incarnation = m_processes.at(name)->incarnation;
+    if (view(stream.size()).holders[shard] == incarnation) {
+      stream.push_back({StreamRecord::Kind::released, name, incarnation, shard});
+    }
+  }
+
   /// Lets a process read the stream up to a record; it restarts when its incarnation has ended.
   void read(const std::string& name, std::size_t until) {
     auto& process = *m_processes.at(name);
@@ -82,7 +90,7 @@
         start(name);
         return;
       }
-      process.joined = process.joined || own;
+      process.joined = process.joined || (own && record.kind == StreamRecord::Kind::joined);
       apply(process, record, own);
     }
   }
@@ -159,6 +167,11 @@
         view.holders[record.shard] = record.incarnation;
         continue;
       }
+      if (record.kind == StreamRecord::Kind::released) {
+        view.holders[record.shard] = 0;
+        view.shards[record.shard].daemon.clear();
+        continue;
+      }
       const bool ended = record.kind == StreamRecord::Kind::ended;
       view.alive[{record.daemon, record.incarnation}] = !ended;
       for (std::uint32_t shard = 0; ended && shard < m_shards; ++shard) {
--- a/src/arbutusdale/routing/key_property_test.cpp
+++ b/src/arbutusdale/routing/key_property_test.cpp
@@ -151,7 +151,8 @@
     if (reader.incarnation != incarnation) {
       m_running.erase(name);
     } else if (reader.joined) {
-      m_cluster.claim(name, static_cast<std::uint32_t>(draw(2)));
+      const auto shard = static_cast<std::uint32_t>(draw(2));
+      draw(20) == 0 ? m_cluster.release(name, shard) : void(m_cluster.claim(name, shard));
     }
   }
 
