Keep slow workers as a reserve instead of taking them out

Ejection for latency removed capacity that the queue needed: in waves that slow 20% of the workers 2.5 times, 80% load became more than the remaining workers could serve. A slow worker now serves when no other slot is free, and returns without a ramp. Workers that fail are still taken out.

--- a/src/arbutusdale/routing/worker_pool.cpp
+++ b/src/arbutusdale/routing/worker_pool.cpp
@@ -140,9 +140,13 @@
   m_own_slots -= worker.counted_own;
   m_idle -= worker.counted_idle;
   m_usable -= worker.counted_usable ? 1 : 0;
+  m_reserve_slots -= worker.counted_reserve;
   worker.counted_usable = is_usable(worker);
   worker.counted_own = worker.counted_usable ? worker.own_slots : 0;
   worker.counted_idle = worker.counted_own - std::min(worker.counted_own, occupied(worker));
+  const bool reserve = worker.listed && !worker.leaving && worker.outlier == OutlierKind::latency;
+  worker.counted_reserve = reserve ? worker.own_slots : 0;
+  m_reserve_slots += worker.counted_reserve;
   m_own_slots += worker.counted_own;
   m_idle += worker.counted_idle;
   m_usable += worker.counted_usable ? 1 : 0;
@@ -233,10 +237,12 @@
     return;
   }
   --m_ejected;
+  // A slow worker has served as a reserve all along. A ramp would take away capacity that calls
+  // in the queue are waiting for.
+  worker.ramping = worker.outlier == OutlierKind::errors;
+  worker.ramp_start = now;
   worker.outlier = OutlierKind::none;
   worker.health = HealthAverage{k_health_weight};
-  worker.ramping = true;
-  worker.ramp_start = now;
 }
 
 bool WorkerPool::tick(TimePoint now) {
@@ -274,7 +280,7 @@
 std::uint32_t WorkerPool::capacity() const {
   if (m_options.policy == Policy::slot_share) {
     const std::uint32_t own = std::max<std::uint32_t>(m_own_slots, m_usable > 0 ? 1 : 0);
-    return own + m_borrow_allowance;
+    return own + m_reserve_slots + m_borrow_allowance;
   }
   return m_usable * m_connection_share;
 }
--- a/src/arbutusdale/routing/worker_pool.hpp
+++ b/src/arbutusdale/routing/worker_pool.hpp
@@ -84,6 +84,7 @@
     // What this worker added to the pool's sums, taken back before it is added anew.
     std::uint32_t counted_own = 0;
     std::uint32_t counted_idle = 0;
+    std::uint32_t counted_reserve = 0;
     bool counted_usable = false;
     std::uint32_t counted_load = k_not_open;
   };
@@ -141,6 +142,7 @@
   std::uint32_t m_ejected = 0;
   std::uint32_t m_own_slots = 0;
   std::uint32_t m_idle = 0;
+  std::uint32_t m_reserve_slots = 0;  // own slots of workers that are ejected for latency
   HealthAverage m_service{k_service_weight};
   std::priority_queue<Due, std::vector<Due>, std::greater<>> m_due;
 };
