Share borrowed slots only among daemons without idle ones

Each daemon borrowed at most the reported idle slots divided by the number of other daemons. Daemons with idle slots borrow none, so most of the allowance stayed unused while a few daemons queued. It is now divided by the number of daemons that report no idle slot.

--- a/src/arbutusdale/routing/service_router.cpp
+++ b/src/arbutusdale/routing/service_router.cpp
@@ -47,13 +47,15 @@
                               const std::vector<PeerInfo>& other_domains, TimePoint now) {
   std::uint32_t position = 0;
   std::uint32_t idle = 0;
+  std::uint32_t borrowers = 1;
   for (const auto& peer : own_domain) {
     position += peer.daemon < m_options.daemon ? 1 : 0;
     idle += peer.idle_slots;
+    borrowers += peer.idle_slots == 0 ? 1 : 0;
   }
-  const auto others = static_cast<std::uint32_t>(own_domain.size());
-  m_pool.set_membership(others + 1, position);
-  m_pool.set_borrow_allowance(others == 0 ? 0 : idle / others);
+  m_pool.set_membership(static_cast<std::uint32_t>(own_domain.size()) + 1, position);
+  // A daemon with idle slots borrows none, so the idle slots are shared by those without any.
+  m_pool.set_borrow_allowance(idle / borrowers);
   m_spill.set_peers(other_domains, now);
 }
 
