Let a daemon with the longer queue occupy more slots

Load reports are 100 ms old while a call takes 20 ms, so at high load one daemon queues while others have free slots. A daemon whose queue delay exceeds the mean of its peers' now occupies more slots, in proportion to the excess and up to a quarter of its capacity. It does not while the peers' queues are longer than one service time, which keeps a surge of one team from filling the workers' own queues.

--- a/src/arbutusdale/routing/service_router.cpp
+++ b/src/arbutusdale/routing/service_router.cpp
@@ -48,12 +48,15 @@
   std::uint32_t position = 0;
   std::uint32_t idle = 0;
   std::uint32_t borrowers = 1;
+  m_peer_delay = Duration::zero();
   for (const auto& peer : own_domain) {
     position += peer.daemon < m_options.daemon ? 1 : 0;
     idle += peer.idle_slots;
+    m_peer_delay += peer.queue_delay / static_cast<Duration::rep>(own_domain.size());
     borrowers += peer.idle_slots == 0 ? 1 : 0;
   }
-  m_pool.set_membership(static_cast<std::uint32_t>(own_domain.size()) + 1, position);
+  m_peers = static_cast<std::uint32_t>(own_domain.size());
+  m_pool.set_membership(m_peers + 1, position);
   // A daemon with idle slots borrows none, so the idle slots are shared by those without any.
   m_pool.set_borrow_allowance(idle / borrowers);
   m_spill.set_peers(other_domains, now);
@@ -192,10 +195,29 @@
   dispatch(now);
 }
 
+// Between two load reports the queue of one daemon may grow while others have free slots. Some
+// more slots are then occupied, in proportion to how much longer this queue is than the others.
+// When all queues are long there is nothing to gain, and the workers' own queues must stay short.
+std::uint32_t ServiceRouter::overflow_slots() const {
+  constexpr double k_largest_share = 0.25;  // of the capacity
+  const auto mean = m_pool.mean_latency();
+  if (m_peers == 0 || mean <= Duration::zero() || m_peer_delay > mean) {
+    return 0;
+  }
+  const Duration wait = expected_wait(static_cast<double>(m_queue.size()));
+  if (wait == Duration::max()) {
+    return 0;
+  }
+  const double excess = std::chrono::duration<double>(wait - m_peer_delay) / mean;
+  const double share = std::clamp(excess, 0.0, k_largest_share);
+  return static_cast<std::uint32_t>(share * m_pool.capacity());
+}
+
 void ServiceRouter::dispatch(TimePoint now) {
   while (dispatch_retries(now)) {
   }
   while (const auto id = m_queue.front()) {
+    m_pool.set_overflow_allowance(overflow_slots());
     if (!assign(*id, m_calls.at(*id), now)) {
       return;
     }
--- a/src/arbutusdale/routing/service_router.hpp
+++ b/src/arbutusdale/routing/service_router.hpp
@@ -69,6 +69,7 @@
   void drop(CallId id, ErrorCode code, const char* message);
   void drop_expired(TimePoint now);
   void start_retries(TimePoint now);
+  [[nodiscard]] std::uint32_t overflow_slots() const;
   void dispatch(TimePoint now);
   bool dispatch_retries(TimePoint now);
   bool assign(CallId id, CallState& state, TimePoint now);
@@ -97,6 +98,8 @@
   std::vector<Assignment> m_assignments;
   std::vector<Dropped> m_dropped;
   std::uint32_t m_in_flight = 0;
+  std::uint32_t m_peers = 0;  // live daemons of the own domain, without this one
+  Duration m_peer_delay{};    // mean of their queue delays
   ServiceFigures m_counts;
 };
 
--- a/src/arbutusdale/routing/worker_choice.cpp
+++ b/src/arbutusdale/routing/worker_choice.cpp
@@ -83,7 +83,7 @@
   }
   // A daemon without own slots may always occupy one, else it could serve nothing.
   const std::uint32_t allowance =
-      m_own_slots == 0 ? std::max<std::uint32_t>(1, m_borrow_allowance) : m_borrow_allowance;
+      std::max<std::uint32_t>(m_own_slots == 0 ? 1 : 0, m_borrow_allowance + m_overflow_allowance);
   if (m_borrowed < allowance) {
     if (const auto borrowed = choose_least_loaded(avoid)) {
       return Choice{*borrowed, true};
--- a/src/arbutusdale/routing/worker_pool.hpp
+++ b/src/arbutusdale/routing/worker_pool.hpp
@@ -43,6 +43,8 @@
   void set_membership(std::uint32_t daemons, std::uint32_t position);
   /// Slots of other daemons that may be occupied at the same time.
   void set_borrow_allowance(std::uint32_t slots) { m_borrow_allowance = slots; }
+  /// Slots that may be occupied beyond those, while this daemon's queue is longer than others.
+  void set_overflow_allowance(std::uint32_t slots) { m_overflow_allowance = slots; }
 
   /// Takes a slot, not on one of `avoid` while any other worker could serve.
   std::optional<Choice> take(const std::vector<std::string>& avoid, TimePoint now);
@@ -129,6 +131,7 @@
   SlotDeal m_deal;
   std::uint32_t m_connection_share = 1;
   std::uint32_t m_borrow_allowance = 0;
+  std::uint32_t m_overflow_allowance = 0;
   std::uint32_t m_borrowed = 0;
 
   IndexSet m_own_free;              // usable, with a free own slot
