--- a/src/arbutusdale/routing/key_table_test.cpp
+++ b/src/arbutusdale/routing/key_table_test.cpp
@@ -1,8 +1,13 @@
 // Tests of single rules of the key table; key_property_test.cpp covers arbitrary schedules.
+#include <memory>
 #include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "key_cluster_test.hpp"
+#include "key_store.hpp"
+#include "key_takeover.hpp"
 #include <criterion/criterion.h>
 
 using namespace arbutusdale;
@@ -230,3 +235,106 @@
   cr_assert_eq(home_domain("s", "x:1", {"p", "q", "r"}), home_domain("s", "x:1", {"r", "p", "q"}));
   cr_assert_eq(home_domain("s", "k", {}), "");
 }
+
+namespace {
+
+/// One table whose messages are kept.
+struct Single {
+  std::vector<proto::peer::PeerMessage> sent;
+  std::unique_ptr<KeyTable> table;
+  TimePoint now{std::chrono::seconds{1}};
+
+  Single() {
+    KeyOptions options;
+    options.daemon = "w";
+    options.incarnation = 9;
+    table = make_key_table(
+        options, [this](const auto&, auto message) { sent.push_back(std::move(message)); });
+  }
+
+  void receive_key(const std::string& key, std::uint64_t term, std::uint64_t request_id) {
+    proto::peer::PeerMessage message;
+    message.set_from("x");
+    auto* list = message.mutable_key_list();
+    list->set_list_id(1);
+    list->set_parts(1);
+    auto* known = list->add_keys();
+    known->set_service("book");
+    known->set_key(key);
+    known->set_term(term);
+    known->set_request_id(request_id);
+    sent.clear();
+    table->receive(message, now);
+  }
+};
+
+}  // namespace
+
+// Guards against a pledge for keys that the owner of a newer term never hears of: a witness that
+// has answered the owner must not acknowledge keys of an older term.
+Test(key_table, late_registration_is_for_the_owner_only) {
+  Single witness;
+  witness.table->set_shards({{"n", 5}}, witness.now);
+  witness.receive_key("old", 2, 1);
+  cr_assert(witness.sent.empty());
+  witness.receive_key("current", 5, 2);
+  cr_assert_eq(witness.sent.size(), 1U);
+  Single owner;
+  owner.table->set_shards({{"w", 5}}, owner.now);
+  owner.table->begin_term(0, 5, {}, owner.now);
+  owner.receive_key("old", 2, 1);
+  cr_assert_eq(owner.sent.size(), 1U);
+}
+
+// Guards against an entry that runs a key on a grant although it knows of another grant.
+Test(key_table, entry_refuses_a_second_grant) {
+  Single entry;
+  entry.table->set_shards({{"n", 5}}, entry.now);
+  entry.receive_key("k", 5, 1);
+  KeyDecision decision = KeyDecision::run;
+  entry.sent.clear();
+  entry.table->request(Fixture::call("k"), entry.now,
+                       [&](const KeyAnswer& result) { decision = result.decision; });
+  proto::peer::PeerMessage grant;
+  grant.set_from("n");
+  grant.mutable_key_reply()->set_request_id(entry.sent.at(0).key_forward().request_id());
+  grant.mutable_key_reply()->set_decision(proto::peer::KeyReply::RUN);
+  grant.mutable_key_reply()->set_term(5);
+  entry.table->receive(grant, entry.now);
+  cr_assert(decision == KeyDecision::may_have_run);
+}
+
+// Guards against freeing a key that two grants are known for, of which only one was proved not run.
+Test(key_store, contested_key_is_never_freed) {
+  KeyStore store{std::chrono::minutes{10}};
+  const TimePoint now{std::chrono::seconds{1}};
+  const KeyId id{"book", "k"};
+  KnownKey grant;
+  for (const std::uint64_t request_id : {1U, 2U}) {
+    grant.request_id = request_id;
+    store.add(id, grant, now);
+  }
+  store.finish(id, 1, true, {}, now);
+  cr_assert(store.may_have_run(id));
+  store.finish(id, 2, true, {}, now);
+  cr_assert(store.may_have_run(id));
+  cr_assert_eq(store.list_all().at(0).keys(0).request_id(), 0U);
+}
+
+// Guards against a list that is too long for one message, and parts that get lost unnoticed.
+Test(key_store, long_lists_are_split) {
+  KeyStore store{std::chrono::minutes{10}};
+  for (int i = 0; i < 1'200; ++i) {
+    store.add({"book", std::to_string(i)}, {}, TimePoint{});
+  }
+  const auto parts = store.list_all();
+  cr_assert_eq(parts.size(), 3U);
+  KeyTakeover takeover{2, 1, {{"x", "", true, 4}}, TimePoint{}};
+  for (auto part : parts) {
+    cr_assert_not(takeover.unknown_may_run(TimePoint{}, std::chrono::minutes{10}));
+    part.set_incarnation(4);
+    part.set_list_id(8);
+    takeover.record_answer("x", part);
+  }
+  cr_assert(takeover.unknown_may_run(TimePoint{}, std::chrono::minutes{10}));
+}
