Use the shortest queue of a peer as the sign of a common overload

With few workers the daemons own unequal shares: 40 slots over 9 daemons are 4 or 5 each, and at 95% load those with 4 are overloaded. Their long queues raised the mean, which stopped the occupation of further slots although others had free ones. The model also truncated the time between arrivals, which made the load 1% too high; it now keeps fractions, and has a skew between daemons.

--- a/src/arbutusdale/bench/experiment.cpp
+++ b/src/arbutusdale/bench/experiment.cpp
@@ -60,6 +60,7 @@
   }
   const std::pair<const char*, double*> numbers[] = {{"load", &options.load},
                                                      {"surge", &options.surge},
+                                                     {"skew", &options.skew},
                                                      {"spread", &options.spread},
                                                      {"affected_share", &options.affected_share},
                                                      {"slow_factor", &options.slow_factor},
--- a/src/arbutusdale/bench/queue_model.cpp
+++ b/src/arbutusdale/bench/queue_model.cpp
@@ -165,13 +165,17 @@
   }
 
   // Callers' connections are spread at random over the daemons that the load balancer knows.
+  std::uint32_t draw_daemon() {
+    const double others = static_cast<double>(m_daemons.size() - 1);
+    const double drawn = random_unit(m_random) * (m_options.skew + others) - m_options.skew;
+    return drawn < 0.0 ? 0 : 1 + static_cast<std::uint32_t>(drawn);
+  }
+
   void submit(const Arrival& arrival) {
-    auto target = static_cast<std::uint32_t>(random_index(m_random, m_daemons.size()));
     const bool noticed = m_now - m_killed_at >= k_balancer_notices;
-    if (!m_daemons[target].alive && noticed) {
-      target =
-          (target + 1 + static_cast<std::uint32_t>(random_index(m_random, m_daemons.size() - 1))) %
-          m_options.daemons;
+    auto target = draw_daemon();
+    while (noticed && !m_daemons[target].alive) {
+      target = draw_daemon();
     }
     auto& daemon = m_daemons[target];
     if (!daemon.alive) {
--- a/src/arbutusdale/bench/queue_model.hpp
+++ b/src/arbutusdale/bench/queue_model.hpp
@@ -33,6 +33,7 @@
   double load = 0.8;  // arrivals as a share of the capacity of all slots
   double surge = 2.0;
   std::uint32_t daemons = 9;
+  double skew = 1.0;  // calls that the first daemon receives, as a multiple of each other's
   std::uint32_t workers = 50;
   std::uint32_t slots = 8;
   Duration mean_service = std::chrono::milliseconds{20};
--- a/src/arbutusdale/bench/workload.cpp
+++ b/src/arbutusdale/bench/workload.cpp
@@ -39,7 +39,6 @@
       m_random{options.seed},
       m_measured_from{m_start + options.warm_up},
       m_end{m_measured_from + options.measured},
-      m_now{m_start},
       m_affected(options.workers) {
   const double second = options.scenario == Scenario::team_surge ? options.surge : options.load;
   const double total = options.load + (has_two_teams(options.scenario) ? second : 0.0);
@@ -52,14 +51,14 @@
   }
 }
 
-Duration Workload::exponential(double mean_us) {
-  return Duration{static_cast<Duration::rep>(-std::log1p(-random_unit(m_random)) * mean_us)};
+double Workload::exponential(double mean) {
+  return -std::log1p(-random_unit(m_random)) * mean;
 }
 
 Duration Workload::service_time() {
   const auto mean_us = static_cast<double>(m_options.mean_service.count());
   if (m_options.spread <= 0.0) {
-    return exponential(mean_us);
+    return Duration{static_cast<Duration::rep>(exponential(mean_us))};
   }
   // Box-Muller, so that the numbers do not depend on the standard library.
   const double radius = std::sqrt(-2.0 * std::log1p(-random_unit(m_random)));
@@ -70,15 +69,15 @@
 }
 
 std::optional<Arrival> Workload::next() {
-  m_now += exponential(1.0 / m_rate_per_us);
-  if (m_now >= m_end) {
+  m_now_us += exponential(1.0 / m_rate_per_us);
+  Arrival arrival;
+  arrival.due = m_start + Duration{static_cast<Duration::rep>(m_now_us)};
+  if (arrival.due >= m_end) {
     return std::nullopt;
   }
-  Arrival arrival;
-  arrival.due = m_now;
   arrival.service = service_time();
   arrival.second_team = random_unit(m_random) < m_second_team;
-  arrival.measured = m_now >= m_measured_from && !arrival.second_team;
+  arrival.measured = arrival.due >= m_measured_from && !arrival.second_team;
   return arrival;
 }
 
--- a/src/arbutusdale/bench/workload.hpp
+++ b/src/arbutusdale/bench/workload.hpp
@@ -33,7 +33,7 @@
   [[nodiscard]] TimePoint end() const { return m_end; }
 
  private:
-  [[nodiscard]] Duration exponential(double mean_us);
+  [[nodiscard]] double exponential(double mean);
   [[nodiscard]] Duration service_time();
 
   const ModelOptions m_options;
@@ -43,7 +43,7 @@
   TimePoint m_start{std::chrono::seconds{1}};
   TimePoint m_measured_from;
   TimePoint m_end;
-  TimePoint m_now;
+  double m_now_us = 0.0;  // since the start; fractions matter at high rates
   std::vector<bool> m_affected;
 };
 
--- a/src/arbutusdale/routing/service_router.cpp
+++ b/src/arbutusdale/routing/service_router.cpp
@@ -49,12 +49,16 @@
   std::uint32_t idle = 0;
   std::uint32_t borrowers = 1;
   m_peer_delay = Duration::zero();
+  m_shortest_peer_delay = Duration::max();
   for (const auto& peer : own_domain) {
     position += peer.daemon < m_options.daemon ? 1 : 0;
     idle += peer.idle_slots;
     m_peer_delay += peer.queue_delay / static_cast<Duration::rep>(own_domain.size());
     borrowers += peer.idle_slots == 0 ? 1 : 0;
   }
+  for (const auto& peer : own_domain) {
+    m_shortest_peer_delay = std::min(m_shortest_peer_delay, peer.queue_delay);
+  }
   m_peers = static_cast<std::uint32_t>(own_domain.size());
   m_pool.set_membership(m_peers + 1, position);
   // A daemon with idle slots borrows none, so the idle slots are shared by those without any.
@@ -201,7 +205,7 @@
 std::uint32_t ServiceRouter::overflow_slots() const {
   constexpr double k_largest_share = 0.25;  // of the capacity
   const auto mean = m_pool.mean_latency();
-  if (m_peers == 0 || mean <= Duration::zero() || m_peer_delay > mean) {
+  if (m_peers == 0 || mean <= Duration::zero() || m_shortest_peer_delay > mean) {
     return 0;
   }
   const Duration wait = expected_wait(static_cast<double>(m_queue.size()));
--- a/src/arbutusdale/routing/service_router.hpp
+++ b/src/arbutusdale/routing/service_router.hpp
@@ -100,6 +100,7 @@
   std::uint32_t m_in_flight = 0;
   std::uint32_t m_peers = 0;  // live daemons of the own domain, without this one
   Duration m_peer_delay{};    // mean of their queue delays
+  Duration m_shortest_peer_delay{};
   ServiceFigures m_counts;
 };
 
