Lift the limit on slots beyond the own share

A daemon that receives three times the calls of each other needs more than twice its own slots at 90% load. The limit of a quarter of the capacity was set against crowding under overload, which the peers' shortest queue already prevents.

--- a/src/arbutusdale/routing/service_router.cpp
+++ b/src/arbutusdale/routing/service_router.cpp
@@ -203,7 +203,6 @@
 // more slots are then occupied, in proportion to how much longer this queue is than the others.
 // When all queues are long there is nothing to gain, and the workers' own queues must stay short.
 std::uint32_t ServiceRouter::overflow_slots() const {
-  constexpr double k_largest_share = 0.25;  // of the capacity
   const auto mean = m_pool.mean_latency();
   if (m_peers == 0 || mean <= Duration::zero() || m_shortest_peer_delay > mean) {
     return 0;
@@ -213,7 +212,7 @@
     return 0;
   }
   const double excess = std::chrono::duration<double>(wait - m_peer_delay) / mean;
-  const double share = std::clamp(excess, 0.0, k_largest_share);
+  const double share = std::clamp(excess, 0.0, 1.0);
   return static_cast<std::uint32_t>(share * m_pool.capacity());
 }
 
