--- a/src/arbutusdale/routing/key_property_test.cpp
+++ b/src/arbutusdale/routing/key_property_test.cpp
@@ -107,8 +107,9 @@
       return;
     }
     const auto key = "k" + std::to_string(draw(60));
-    process.table->request({"s", key, 1}, m_cluster.now,
-                           [this, name, key](KeyAnswer answer) { decided(name, key, answer); });
+    process.table->request(
+        {"s", key, 1}, m_cluster.now,
+        [this, name, key](const KeyAnswer& answer) { decided(name, key, answer); });
   }
 
   void decided(const std::string& name, const std::string& key, const KeyAnswer& answer) {
@@ -150,7 +151,8 @@
     if (reader.incarnation != incarnation) {
       m_running.erase(name);
     } else if (reader.joined) {
-      m_cluster.claim(name, static_cast<std::uint32_t>(draw(2)));
+      const auto shard = static_cast<std::uint32_t>(draw(2));
+      draw(20) == 0 ? m_cluster.release(name, shard) : void(m_cluster.claim(name, shard));
     }
   }
 
--- a/src/arbutusdale/routing/worker_pool.hpp
+++ b/src/arbutusdale/routing/worker_pool.hpp
@@ -43,6 +43,8 @@
   void set_membership(std::uint32_t daemons, std::uint32_t position);
   /// Slots of other daemons that may be occupied at the same time.
   void set_borrow_allowance(std::uint32_t slots) { m_borrow_allowance = slots; }
+  /// Slots that may be occupied beyond those, while this daemon's queue is longer than others.
+  void set_overflow_allowance(std::uint32_t slots) { m_overflow_allowance = slots; }
 
   /// Takes a slot, not on one of `avoid` while any other worker could serve.
   std::optional<Choice> take(const std::vector<std::string>& avoid, TimePoint now);
@@ -84,6 +86,7 @@
     // What this worker added to the pool's sums, taken back before it is added anew.
     std::uint32_t counted_own = 0;
     std::uint32_t counted_idle = 0;
+    std::uint32_t counted_reserve = 0;
     bool counted_usable = false;
     std::uint32_t counted_load = k_not_open;
   };
@@ -128,6 +131,7 @@
   SlotDeal m_deal;
   std::uint32_t m_connection_share = 1;
   std::uint32_t m_borrow_allowance = 0;
+  std::uint32_t m_overflow_allowance = 0;
   std::uint32_t m_borrowed = 0;
 
   IndexSet m_own_free;              // usable, with a free own slot
@@ -141,6 +145,7 @@
   std::uint32_t m_ejected = 0;
   std::uint32_t m_own_slots = 0;
   std::uint32_t m_idle = 0;
+  std::uint32_t m_reserve_slots = 0;  // own slots of workers that are ejected for latency
   HealthAverage m_service{k_service_weight};
   std::priority_queue<Due, std::vector<Due>, std::greater<>> m_due;
 };
