Lower the traffic of membership

ZeroMQ's own heartbeats and the calls to the log share the budget of 20 KB/s, so membership takes at most 10 KB/s for load deltas, passes on fewer versions and hints, and answers at most 16 links.

--- a/src/arbutusdale/peer/membership.cpp
+++ b/src/arbutusdale/peer/membership.cpp
@@ -17,16 +17,18 @@
 using proto::peer::PeerMessage;
 
 constexpr std::size_t k_max_members = 1'024;
-constexpr std::size_t k_max_returned_links = 24;  // links chosen by others that are answered
-constexpr std::size_t k_versions_per_heartbeat = 6;
+constexpr std::size_t k_max_returned_links =
+    16;  // links chosen by others; the rest turn to other daemons
+constexpr std::size_t k_versions_per_heartbeat = 4;
 constexpr std::size_t k_loads_per_message = 8;
 constexpr std::size_t k_max_hints = 8;  // taken from one heartbeat
 // Bytes around each message on the wire: TCP/IP headers, ZMTP frame and CURVE box.
 constexpr std::uint64_t k_overhead_bytes = 80;
-// Share of membership in the budget of 20 KB/s per daemon. Heartbeats are always sent; load
-// deltas only while this allows them, so they come less often when many services change.
-constexpr double k_budget_bytes_per_second = 12'000;
-constexpr double k_budget_burst_bytes = 12'000;
+// Share of membership in the budget of 20 KB/s per daemon; the rest is left for ZeroMQ's own
+// heartbeats and the calls to the log. Heartbeats are always sent; load deltas only while this
+// allows them, so they come less often when many services change.
+constexpr double k_budget_bytes_per_second = 10'000;
+constexpr double k_budget_burst_bytes = 10'000;
 // Regions lose each other for an hour; their daemons must still be known afterwards.
 constexpr Duration k_forget_after = std::chrono::hours{2};
 constexpr Duration k_max_round_trip = std::chrono::seconds{60};
@@ -221,7 +223,10 @@
     heartbeat.set_echo_at_us(peer->sent_at_us);
     heartbeat.set_echo_held_us(static_cast<std::uint64_t>((now - peer->received_at).count()));
   }
-  add_hint(heartbeat, peer, now);
+  // Hints matter to new daemons; every second heartbeat is enough for known ones.
+  if (peer == nullptr || random_index(m_random, 2) == 0) {
+    add_hint(heartbeat, peer, now);
+  }
   send(address, message);
   m_contacts.sent(address, now);
 }
