--- a/src/arbutusdale/peer/zmq_network_test.cpp
+++ b/src/arbutusdale/peer/zmq_network_test.cpp
@@ -7,8 +7,14 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <vector>
 
+#include <arpa/inet.h>
 #include <criterion/criterion.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
 #include <zmq.hpp>
 
 using namespace arbutusdale;
@@ -66,6 +72,98 @@
   return socket;
 }
 
+/// Forwards TCP connections to a port. `freeze` silences those open at that time: they stay open,
+/// but nothing is forwarded any more, as after a lost route; later connections work.
+class Forwarder {
+ public:
+  explicit Forwarder(std::uint16_t target) : m_target(target) {
+    m_listener = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address = loopback(0);
+    socklen_t length = sizeof(address);
+    bind(m_listener, reinterpret_cast<sockaddr*>(&address), length);
+    listen(m_listener, 16);
+    getsockname(m_listener, reinterpret_cast<sockaddr*>(&address), &length);
+    m_port = ntohs(address.sin_port);
+    m_thread = std::thread([this] { run(); });
+  }
+
+  ~Forwarder() {
+    m_stopping = true;
+    m_thread.join();
+    close(m_listener);
+    for (const Link& link : m_links) {
+      close(link.client);
+      close(link.server);
+    }
+  }
+
+  [[nodiscard]] std::string address() const { return "127.0.0.1:" + std::to_string(m_port); }
+  void freeze() { m_freeze = true; }
+
+ private:
+  struct Link {
+    int client = -1;
+    int server = -1;
+    bool frozen = false;
+  };
+
+  static sockaddr_in loopback(std::uint16_t port) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    return address;
+  }
+
+  void run() {
+    while (!m_stopping) {
+      std::vector<pollfd> ready{{m_listener, POLLIN, 0}};
+      for (const Link& link : m_links) {
+        ready.push_back({link.frozen ? -1 : link.client, POLLIN, 0});
+        ready.push_back({link.frozen ? -1 : link.server, POLLIN, 0});
+      }
+      poll(ready.data(), ready.size(), 10);
+      const bool freezing = m_freeze.exchange(false);
+      for (std::size_t i = 0; i < m_links.size(); ++i) {
+        Link& link = m_links[i];
+        link.frozen = link.frozen || freezing || !copy(ready[1 + 2 * i], link.server) ||
+                      !copy(ready[2 + 2 * i], link.client);
+      }
+      if ((ready[0].revents & POLLIN) != 0) {
+        accept_link();
+      }
+    }
+  }
+
+  void accept_link() {
+    const sockaddr_in address = loopback(m_target);
+    Link link{accept(m_listener, nullptr, nullptr), socket(AF_INET, SOCK_STREAM, 0)};
+    connect(link.server, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+    m_links.push_back(link);
+  }
+
+  static bool copy(const pollfd& from, int to) {
+    char buffer[65'536];
+    if (from.fd < 0 || from.revents == 0) {
+      return true;
+    }
+    const ssize_t count = recv(from.fd, buffer, sizeof(buffer), 0);
+    return count > 0 && ::send(to, buffer, static_cast<std::size_t>(count), MSG_NOSIGNAL) == count;
+  }
+
+  std::uint16_t m_target;
+  std::uint16_t m_port = 0;
+  int m_listener = -1;
+  std::vector<Link> m_links;
+  std::atomic<bool> m_freeze{false};
+  std::atomic<bool> m_stopping{false};
+  std::thread m_thread;
+};
+
+std::uint16_t port_of(const std::string& address) {
+  return static_cast<std::uint16_t>(std::stoi(address.substr(address.rfind(':') + 1)));
+}
+
 std::string valid_message() {
   proto::peer::PeerMessage message;
   message.set_from("intruder");
@@ -158,6 +256,22 @@
   }));
 }
 
+// Guards against a connection that has gone silent for good and is used for ever: without ZeroMQ's
+// heartbeats the sender would never open another one.
+Test(zmq_network, a_silent_connection_is_replaced) {
+  const FleetKeys keys = make_fleet_keys();
+  const Node receiver(keys);
+  Forwarder forwarder(port_of(receiver.network->bound_address()));
+  const Node sender(keys);
+  sender.send(forwarder.address(), 1);
+  cr_assert(eventually([&] { return receiver.newest == 1; }));
+  forwarder.freeze();
+  cr_assert(eventually([&] {
+    sender.send(forwarder.address(), 2);
+    return receiver.newest == 2;
+  }));
+}
+
 // Guards against an outbox without bound, against addresses that end the thread, and against a
 // stop that hangs on messages for an absent peer.
 Test(zmq_network, bounds_what_waits_and_stops) {
