--- a/src/arbutusdale/peer/zmq_network.cpp
+++ b/src/arbutusdale/peer/zmq_network.cpp
@@ -104,7 +104,12 @@
       m_router(m_context, zmq::socket_type::router),
       m_wakeup(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)),
       m_in_delivery(std::make_shared<std::atomic<std::size_t>>(0)) {
-  bind();
+  try {
+    bind();
+  } catch (const zmq::error_t&) {
+    close(m_wakeup);  // the destructor does not run
+    throw;
+  }
   m_thread = std::thread([this] { run(); });
 }
 
