--- a/include/arbutusdale/gateway/admin.hpp
+++ b/include/arbutusdale/gateway/admin.hpp
@@ -11,7 +11,7 @@
 enum class Role : std::uint8_t {
   none,
   team,       ///< may read status and cancel its own jobs
-  operator_,  ///< may do everything
+  operator_,  ///< may do everything; NOLINT(readability-identifier-naming): a keyword otherwise
 };
 
 std::string_view to_string(Role role);
--- a/src/arbutusdale/gateway/caller_entry.cpp
+++ b/src/arbutusdale/gateway/caller_entry.cpp
@@ -130,17 +130,17 @@
   m_dispatcher.hold(call);
   // The dispatcher keeps the call alive, so that a decision after the gateway's end finds nothing.
   const std::weak_ptr<ProxyCall> weak = call;
-  m_dispatcher.keys()->request(keyed,
-                               [weak, &dispatcher = m_dispatcher](routing::KeyAnswer answer) {
-                                 if (const auto held = weak.lock()) {
-                                   dispatcher.release(held);
-                                   decide(dispatcher, held, std::move(answer));
-                                 }
-                               });
+  m_dispatcher.keys()->request(
+      keyed, [weak, &dispatcher = m_dispatcher](const routing::KeyAnswer& answer) {
+        if (const auto held = weak.lock()) {
+          dispatcher.release(held);
+          decide(dispatcher, held, answer);
+        }
+      });
 }
 
 void CallerEntry::decide(Dispatcher& dispatcher, const std::shared_ptr<ProxyCall>& call,
-                         routing::KeyAnswer answer) {
+                         const routing::KeyAnswer& answer) {
   using routing::KeyDecision;
   switch (answer.decision) {
     case KeyDecision::run:
--- a/src/arbutusdale/gateway/caller_watch.cpp
+++ b/src/arbutusdale/gateway/caller_watch.cpp
@@ -29,14 +29,14 @@
   close(m_epoll);
 }
 
-bool CallerWatch::add(int socket, std::uint64_t id) {
+bool CallerWatch::add(int socket, std::uint64_t id) const {
   epoll_event event{};
   event.events = EPOLLRDHUP | EPOLLONESHOT;
   event.data.u64 = id;
   return epoll_ctl(m_epoll, EPOLL_CTL_ADD, socket, &event) == 0;
 }
 
-void CallerWatch::remove(int socket) {
+void CallerWatch::remove(int socket) const {
   epoll_event event{};
   epoll_ctl(m_epoll, EPOLL_CTL_DEL, socket, &event);
 }
--- a/src/arbutusdale/gateway/caller_watch.hpp
+++ b/src/arbutusdale/gateway/caller_watch.hpp
@@ -16,8 +16,8 @@
   CallerWatch(const CallerWatch&) = delete;
   CallerWatch& operator=(const CallerWatch&) = delete;
 
-  bool add(int socket, std::uint64_t id);
-  void remove(int socket);
+  [[nodiscard]] bool add(int socket, std::uint64_t id) const;
+  void remove(int socket) const;
 
  private:
   void run();
--- a/src/arbutusdale/gateway/dispatcher.cpp
+++ b/src/arbutusdale/gateway/dispatcher.cpp
@@ -74,7 +74,7 @@
     waits = id && std::none_of(work.assigned.begin(), work.assigned.end(),
                                [&](const auto& item) { return item.first == call; });
   }
-  act(std::move(work));
+  act(work);
   if (!id) {
     call->refuse(id.error());
   } else if (waits) {
@@ -100,7 +100,7 @@
     }
     work = collect_locked(now());
   }
-  act(std::move(work));
+  act(work);
   return completion;
 }
 
@@ -121,7 +121,7 @@
     }
     work = collect_locked(now());
   }
-  act(std::move(work));
+  act(work);
   if (queued) {
     queued->refuse(
         Error{ErrorCode::unavailable, Verdict::not_run, "the caller closed its connection"});
@@ -152,11 +152,11 @@
   return work;
 }
 
-void Dispatcher::act(Work work) {
-  for (auto& [call, assignment] : work.assigned) {
+void Dispatcher::act(const Work& work) {
+  for (const auto& [call, assignment] : work.assigned) {
     call->start_attempt(assignment);
   }
-  for (auto& [call, error] : work.dropped) {
+  for (const auto& [call, error] : work.dropped) {
     call->refuse(error);
   }
 }
@@ -167,7 +167,7 @@
     auto work = collect_locked(now());
     if (!work.assigned.empty() || !work.dropped.empty()) {
       lock.unlock();
-      act(std::move(work));
+      act(work);
       lock.lock();
       continue;
     }
@@ -202,7 +202,7 @@
     m_parts.router->set_services(services, teams);
     work = collect_locked(now());
   }
-  act(std::move(work));
+  act(work);
 }
 
 void Dispatcher::set_targets(const std::string& service,
@@ -213,7 +213,7 @@
     m_parts.router->set_targets(service, targets, now());
     work = collect_locked(now());
   }
-  act(std::move(work));
+  act(work);
 }
 
 void Dispatcher::set_peers(const std::string& service,
@@ -225,7 +225,7 @@
     m_parts.router->set_peers(service, own_domain, other_domains, now());
     work = collect_locked(now());
   }
-  act(std::move(work));
+  act(work);
 }
 
 std::vector<routing::ServiceFigures> Dispatcher::figures() const {
--- a/src/arbutusdale/gateway/dispatcher.hpp
+++ b/src/arbutusdale/gateway/dispatcher.hpp
@@ -72,7 +72,7 @@
   };
 
   Work collect_locked(TimePoint now);
-  static void act(Work work);
+  static void act(const Work& work);
   void cancel(routing::CallId id);
   void run_timer();
 
--- a/src/arbutusdale/gateway/exchange.cpp
+++ b/src/arbutusdale/gateway/exchange.cpp
@@ -94,7 +94,7 @@
 void Exchange::watch_caller(std::function<void()> gone) {
   const std::lock_guard lock(m_mutex);
   // Once the answer is ready the connection is resumed, and libmicrohttpd may close the socket.
-  if (m_connection == nullptr || m_answer_ready || !m_suspended || m_watched) {
+  if (m_connection == nullptr || m_answer_ready || m_watched) {
     return;
   }
   m_gone = std::move(gone);
@@ -114,7 +114,7 @@
 }
 
 void Exchange::resume_locked() {
-  if (!m_suspended || m_connection == nullptr) {
+  if (m_connection == nullptr) {
     return;
   }
   if (m_watched) {
@@ -122,6 +122,9 @@
     m_watched = false;
     m_gone = nullptr;
   }
+  if (!m_suspended) {
+    return;
+  }
   m_suspended = false;
   MHD_resume_connection(m_connection);
   m_server.count_suspended(-1);
--- a/src/arbutusdale/gateway/http_server.cpp
+++ b/src/arbutusdale/gateway/http_server.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr unsigned k_listen_backlog = 1'024;
+constexpr std::size_t k_max_discarded_bytes = 16'777'216;
 constexpr auto k_stop_poll = std::chrono::milliseconds{5};
 
 using SharedExchange = std::shared_ptr<Exchange>;
@@ -172,7 +173,7 @@
 }
 
 MHD_Result HttpServerImpl::begin(MHD_Connection* connection, Exchange& exchange, const char* method,
-                                 const char* version) {
+                                 const char* version) const {
   exchange.m_begun = true;
   exchange.m_method = method;
   exchange.m_http_1_0 = std::strcmp(version, "HTTP/1.0") == 0;
@@ -188,7 +189,7 @@
 }
 
 /// libmicrohttpd takes no answer while a body is received, so the rest of a refused body is
-/// discarded, up to the limit of a body; then the connection is closed.
+/// discarded, up to a limit; then the connection is closed.
 MHD_Result HttpServerImpl::add_body(Exchange& exchange, std::string_view data) {
   if (!exchange.m_early_refusal) {
     if (exchange.m_body.size() + data.size() > m_options.max_body_bytes) {
@@ -205,7 +206,7 @@
     exchange.m_body.clear();
   }
   exchange.m_discarded_bytes += data.size();
-  return exchange.m_discarded_bytes > m_options.max_body_bytes ? MHD_NO : MHD_YES;
+  return exchange.m_discarded_bytes > k_max_discarded_bytes ? MHD_NO : MHD_YES;
 }
 
 MHD_Result HttpServerImpl::finish_request(MHD_Connection* connection,
--- a/src/arbutusdale/gateway/http_server_impl.hpp
+++ b/src/arbutusdale/gateway/http_server_impl.hpp
@@ -41,7 +41,7 @@
                            MHD_RequestTerminationCode code);
 
   MHD_Result begin(MHD_Connection* connection, Exchange& exchange, const char* method,
-                   const char* version);
+                   const char* version) const;
   MHD_Result add_body(Exchange& exchange, std::string_view data);
   MHD_Result finish_request(MHD_Connection* connection, const std::shared_ptr<Exchange>& exchange);
   MHD_Result suspend_or_answer(MHD_Connection* connection, Exchange& exchange);
--- a/src/arbutusdale/gateway/proxy_call.cpp
+++ b/src/arbutusdale/gateway/proxy_call.cpp
@@ -55,14 +55,14 @@
 void ProxyCall::refuse(const Error& error) {
   auto answer = problem(error);
   const int status = answer.head.status;
-  m_request.exchange->respond(std::move(answer));
   conclude(error.verdict, status, {});
+  m_request.exchange->respond(std::move(answer));
 }
 
 void ProxyCall::replay(Answer answer, Verdict verdict) {
   const int status = answer.head.status;
-  m_request.exchange->respond(std::move(answer));
   conclude(verdict, status, {});
+  m_request.exchange->respond(std::move(answer));
 }
 
 void ProxyCall::start_attempt(const routing::Assignment& assignment) {
@@ -108,11 +108,20 @@
   // A retry avoids the pool of connections, one of which may have gone silent.
   request.fresh_connection = !m_request.idempotent || assignment.attempt > 1;
   request.timeout = left;
-  request.silence = std::max(m_dispatcher.options().min_silence,
-                             k_silence_factor * m_request.service->config.p99_target);
+  request.silence = silence_limit(left);
   m_dispatcher.upstream().start(std::move(request), shared_from_this());
 }
 
+/// Giving a silent attempt up early helps only when the call may be sent again; others wait for
+/// their deadline.
+Duration ProxyCall::silence_limit(Duration left) const {
+  if (!m_request.idempotent) {
+    return left;
+  }
+  return std::max(m_dispatcher.options().min_silence,
+                  k_silence_factor * m_request.service->config.p99_target);
+}
+
 HeaderList ProxyCall::request_headers(const routing::Assignment& assignment, Duration left) const {
   HeaderList headers;
   headers.reserve(m_request.headers.size() + 4);
@@ -242,13 +251,13 @@
                                                                   : Verdict::may_have_run;
   }
   if (end.result == UpstreamResult::complete) {
-    finish_answered(end, completion.verdict);
+    finish_answered(completion.verdict);
   } else {
     finish_failed(end, completion.verdict);
   }
 }
 
-void ProxyCall::finish_answered(const UpstreamEnd& /*end*/, Verdict verdict) {
+void ProxyCall::finish_answered(Verdict verdict) {
   // An answer of a target is an answer, whatever its status; a peer may state another verdict.
   if (!m_assignment.to_peer) {
     verdict = Verdict::answered;
@@ -260,6 +269,7 @@
   if (m_key_permitted && m_stored_complete && m_body.size() <= k_hold_bytes) {
     stored = encode_answer({m_head, m_body});
   }
+  conclude(verdict, m_head.status, std::move(stored));
   if (m_streaming) {
     exchange.end_stream(true);
   } else if (exchange.method() == "HEAD") {
@@ -268,13 +278,12 @@
   } else {
     exchange.respond({m_head, std::move(m_body)});
   }
-  conclude(verdict, m_head.status, std::move(stored));
 }
 
 void ProxyCall::finish_failed(const UpstreamEnd& end, Verdict verdict) {
   if (m_streaming) {
-    m_request.exchange->end_stream(false);
     conclude(Verdict::may_have_run, m_head.status, {});
+    m_request.exchange->end_stream(false);
     return;
   }
   if (end.result == UpstreamResult::abandoned) {
@@ -287,6 +296,8 @@
   refuse({code, verdict, fmt::format("the target did not answer: {}", end.message)});
 }
 
+/// Comes before the end of the answer, so that a caller who has it finds its key and the metrics
+/// up to date.
 void ProxyCall::conclude(Verdict verdict, int status, std::string stored_answer) {
   if (m_concluded) {
     return;
--- a/src/arbutusdale/gateway/proxy_call.hpp
+++ b/src/arbutusdale/gateway/proxy_call.hpp
@@ -63,12 +63,13 @@
   void send(const routing::Assignment& assignment);
   [[nodiscard]] HeaderList request_headers(const routing::Assignment& assignment,
                                            Duration left) const;
+  [[nodiscard]] Duration silence_limit(Duration left) const;
   [[nodiscard]] bool must_hold(std::optional<std::uint64_t> length) const;
   SinkResult begin_stream();
   SinkResult add_held(std::string_view data);
   [[nodiscard]] routing::AttemptResult attempt_result(const UpstreamEnd& end) const;
   [[nodiscard]] bool peer_refused() const;
-  void finish_answered(const UpstreamEnd& end, Verdict verdict);
+  void finish_answered(Verdict verdict);
   void finish_failed(const UpstreamEnd& end, Verdict verdict);
   void conclude(Verdict verdict, int status, std::string stored_answer);
 
--- a/src/arbutusdale/gateway/test_support.hpp
+++ b/src/arbutusdale/gateway/test_support.hpp
@@ -117,13 +117,15 @@
  public:
   using Script = std::function<bool(Connection&, const TargetRequest&)>;
 
-  explicit ScriptedTarget(Script script) : m_script(std::move(script)) {
-    m_socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  explicit ScriptedTarget(Script script)
+      : m_script(std::move(script)), m_socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    ::bind(m_socket, reinterpret_cast<sockaddr*>(&address), sizeof(address));
-    ::listen(m_socket, 64);
+    if (::bind(m_socket, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0 ||
+        ::listen(m_socket, 64) != 0) {
+      throw std::runtime_error("cannot listen on loopback");
+    }
     socklen_t size = sizeof(address);
     ::getsockname(m_socket, reinterpret_cast<sockaddr*>(&address), &size);
     m_port = ntohs(address.sin_port);
@@ -211,7 +213,7 @@
   }
 
   const Script m_script;
-  int m_socket = -1;
+  const int m_socket;
   std::uint16_t m_port = 0;
   std::atomic<int> m_connections{0};
   std::vector<int> m_accepted;  // used by the acceptor, and by the destructor after its end
@@ -243,7 +245,10 @@
   address.sin_family = AF_INET;
   address.sin_port = htons(port);
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  ::connect(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  if (::connect(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0) {
+    ::close(socket);
+    return -1;
+  }
   return socket;
 }
 
@@ -266,7 +271,8 @@
 class TestGateway {
  public:
   explicit TestGateway(const std::vector<std::string>& targets, GatewayOptions options = {},
-                       KeyGate* keys = nullptr, AdminHandler* admin = nullptr)
+                       KeyGate* keys = nullptr, AdminHandler* admin = nullptr,
+                       observe::Tracer* tracer = nullptr)
       : m_clock(make_system_clock()), m_registry(observe::make_registry()) {
     options.daemon = "entry-1";
     options.caller_listen = "127.0.0.1:0";
@@ -283,6 +289,7 @@
     parts.registry = m_registry.get();
     parts.keys = keys;
     parts.admin = admin;
+    parts.tracer = tracer;
     m_gateway = make_gateway(options, std::move(parts));
     if (const auto started = m_gateway->start(); !started) {
       throw std::runtime_error(started.error().message);
@@ -297,6 +304,7 @@
   void set_service(const std::vector<std::string>& targets) {
     m_gateway->set_services({m_service}, {{"default", 1}, {"sales", 1}});
     std::vector<routing::TargetInfo> list;
+    list.reserve(targets.size());
     for (const auto& address : targets) {
       list.push_back({"vm-" + std::to_string(list.size() + 1), address, false});
     }
