--- a/src/arbutusdale/observe/metrics.cpp
+++ b/src/arbutusdale/observe/metrics.cpp
@@ -93,7 +93,7 @@
   /// Index -1 is the bucket below the lowest edge, k_buckets the one above the highest. The storage
   /// is used directly here and in `merge`: GCC 12 reports a false maybe-uninitialized in
   /// Boost.Histogram's own functions when the sanitizers are on.
-  [[nodiscard]] std::uint64_t at(int index) const {
+  [[nodiscard]] std::uint64_t at(std::ptrdiff_t index) const {
     return bh::unsafe_access::storage(m_buckets)[static_cast<std::size_t>(index + 1)].load();
   }
   [[nodiscard]] double upper_edge(int index) const { return m_buckets.axis().value(index + 1); }
