--- a/src/arbutusdale/gateway/caller_entry.cpp
+++ b/src/arbutusdale/gateway/caller_entry.cpp
@@ -169,7 +169,10 @@
           Verdict::not_run);
       return;
     case KeyDecision::overloaded:
-      call->refuse(refusal(ErrorCode::overloaded, "the table of idempotency keys is full"));
+      // An earlier call with the same key may be unknown to a full table.
+      call->replay(problem(503, {ErrorCode::overloaded, Verdict::may_have_run,
+                                 "the table of idempotency keys is full"}),
+                   Verdict::may_have_run);
       return;
   }
 }
--- a/src/arbutusdale/gateway/keys_test.cpp
+++ b/src/arbutusdale/gateway/keys_test.cpp
@@ -134,7 +134,8 @@
   cr_assert_eq(refused(KeyDecision::mismatch).status(), 422);
   const auto full = refused(KeyDecision::overloaded);
   cr_assert_eq(full.status(), 503);
-  cr_assert(verdict_of(full) == "not_run");
+  cr_assert(verdict_of(full) == "may_have_run");
+  cr_assert_not(full.header("Retry-After").empty());
   cr_assert(target.requests().empty());
   cr_assert(gate.finished.empty());
 }
