Add control node, daemon, fault matrix, scenarios and capacity tool

Cause: the modules need one node that follows the streams, holds shards, carries out plans and feeds the router, and a proof that the invariants hold under faults. A plan is done only when every failure domain concerned has recorded each step. Faults found and fixed on the way: shards were claimed before their number was declared, so the map from workers to shards changed under a holder; the step of a drain waited for the holder of shard 0, which does not know the VMs of other shards.

--- /dev/null
+++ b/src/arbutusdale/control/key_service.hpp
@@ -0,0 +1,43 @@
+// Connects the idempotency key table to the peers and to the shard terms of the domain's stream.
+#pragma once
+
+#include "arbutusdale/routing/key_table.hpp"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "context.hpp"
+
+namespace arbutusdale::control {
+
+/// Owns the key table of this daemon.
+class KeyService {
+ public:
+  explicit KeyService(Context context);
+
+  void tick(TimePoint now, std::uint32_t shards);
+  void receive(const proto::peer::PeerMessage& message, TimePoint now);
+  /// This daemon holds a new term; asks every incarnation that may know keys of earlier ones.
+  void begin_term(std::uint32_t shard, std::uint64_t term, std::uint64_t previous_term,
+                  TimePoint now);
+  /// Notes when an incarnation ended, to tell whether its keys may still be in their retention.
+  void incarnation_ended(const proto::state::IncarnationEnded& ended, std::uint64_t written_at_ms);
+
+  [[nodiscard]] routing::KeyTable& table() { return *m_table; }
+
+ private:
+  void send(const std::string& daemon, proto::peer::PeerMessage message);
+  void refresh_shards(TimePoint now, std::uint32_t shards);
+  [[nodiscard]] bool may_hold_keys(const proto::state::IncarnationEntry& entry,
+                                   std::uint64_t previous_term) const;
+
+  Context m_context;
+  std::unique_ptr<routing::KeyTable> m_table;
+  std::map<std::pair<std::string, std::uint64_t>, std::uint64_t> m_ended_ms;  // abrupt ends only
+  std::vector<std::pair<std::string, std::uint64_t>> m_shard_view;  // holder and term by shard
+};
+
+}  // namespace arbutusdale::control
--- /dev/null
+++ b/src/arbutusdale/control/plan_executor.hpp
@@ -0,0 +1,50 @@
+// Carries out the steps of confirmed plans that concern this failure domain.
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "context.hpp"
+#include "shard_manager.hpp"
+
+namespace arbutusdale::control {
+
+/// Step 0 of a plan is its configuration being in force in the failure domain; step N + 1 is its
+/// N-th change having reached its end there. A step is recorded only after the one before it in the
+/// same failure domain. Each daemon derives the open steps from the streams, so a plan is carried
+/// on by whichever daemons live.
+class PlanExecutor {
+ public:
+  PlanExecutor(Context context, const ShardManager& shards)
+      : m_context(std::move(context)), m_shards(shards) {}
+
+  void tick(TimePoint now);
+
+ private:
+  using StepId = std::pair<std::string, std::uint32_t>;
+
+  void advance(const proto::state::PlanEntry& entry, TimePoint now);
+  void report_progress(TimePoint now);
+  void report_job(const proto::state::JobDecl& job);
+  [[nodiscard]] bool concerns_another_domain(const proto::state::Change& change) const;
+  /// Shard whose holder records the step: for a drain the VM's, since only its holder knows the VM.
+  [[nodiscard]] std::uint32_t executor_shard(const proto::state::PlanEntry& entry,
+                                             std::uint32_t step) const;
+  [[nodiscard]] bool step_reached(const proto::state::PlanEntry& entry, std::uint32_t step,
+                                  TimePoint now, std::string& outcome) const;
+  [[nodiscard]] bool config_in_force(std::uint64_t version, TimePoint now) const;
+  [[nodiscard]] bool change_done(const proto::state::Change& change, std::string& outcome) const;
+  [[nodiscard]] bool job_stopped(const std::string& job, std::string& outcome) const;
+  [[nodiscard]] bool job_ended(const std::string& job, std::string& outcome) const;
+  [[nodiscard]] proto::state::JobProgress job_totals(const proto::state::JobDecl& job) const;
+
+  Context m_context;
+  const ShardManager& m_shards;
+  std::set<StepId> m_proposed;                    // steps whose record is under way
+  std::map<std::string, std::string> m_reported;  // last totals sent, by job
+  TimePoint m_next_progress{};
+};
+
+}  // namespace arbutusdale::control
--- /dev/null
+++ b/src/arbutusdale/control/shard_manager.hpp
@@ -0,0 +1,66 @@
+// Claims shards for this daemon and runs the ones whose term it holds.
+#pragma once
+
+#include "arbutusdale/batch/shard_runner.hpp"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "context.hpp"
+#include "vm_view.hpp"
+
+namespace arbutusdale::control {
+
+/// One ShardRunner for each term held; a runner is dropped as soon as the stream shows another
+/// term.
+class ShardManager {
+ public:
+  /// Called when this daemon has become the holder of a shard.
+  using TermBegan =
+      std::function<void(std::uint32_t shard, std::uint64_t term, std::uint64_t previous_term)>;
+
+  ShardManager(Context context, const VmView& vms, TermBegan term_began);
+
+  /// Compares the holders in the stream with the runners, and claims shards without a holder.
+  void tick(TimePoint now, bool joined);
+  void vms_changed(TimePoint now);
+  void state_changed(TimePoint now);
+
+  /// Stops all runners and appends their release.
+  void release_all();
+  [[nodiscard]] bool holds_any() const { return !m_runners.empty(); }
+
+  [[nodiscard]] std::uint32_t shards() const;
+  [[nodiscard]] bool holds(std::uint32_t shard) const { return m_runners.contains(shard); }
+  [[nodiscard]] std::vector<std::uint32_t> held() const;
+  [[nodiscard]] batch::ShardStats totals() const;
+  [[nodiscard]] bool is_drained(const std::string& worker) const;
+  [[nodiscard]] std::string waiting_reason(const std::string& job) const;
+
+ private:
+  struct Held {
+    std::uint64_t term = 0;
+    std::unique_ptr<batch::ShardRunner> runner;
+  };
+
+  void sync_runners(TimePoint now);
+  void start_runner(std::uint32_t shard, std::uint64_t term, TimePoint now);
+  void claim_free(TimePoint now);
+  void claim(std::uint32_t shard, std::uint64_t expected_term);
+  void give_vms(std::uint32_t shard, batch::ShardRunner& runner, TimePoint now);
+  [[nodiscard]] Duration claim_delay(std::uint32_t shard, TimePoint now) const;
+
+  Context m_context;
+  const VmView& m_vms;
+  TermBegan m_term_began;
+  std::map<std::uint32_t, Held> m_runners;             // by shard
+  std::map<std::uint32_t, TimePoint> m_free_since;     // shards seen without a holder
+  std::map<std::uint32_t, std::uint64_t> m_last_term;  // term seen before the current one
+  std::map<std::uint32_t, bool> m_claiming;            // a claim is under way
+  batch::ShardStats m_ended;                           // counts of runners that have ended
+  bool m_releasing = false;
+};
+
+}  // namespace arbutusdale::control
--- /dev/null
+++ b/src/arbutusdale/daemon/daemon_metrics.hpp
@@ -0,0 +1,11 @@
+// Publishes the node's figures as metrics.
+#pragma once
+
+#include "arbutusdale/control/node.hpp"
+#include "arbutusdale/observe/metrics.hpp"
+
+namespace arbutusdale::daemon {
+
+void publish(const control::NodeFigures& figures, observe::Registry& registry);
+
+}  // namespace arbutusdale::daemon
--- /dev/null
+++ b/src/arbutusdale/fuzz/declaration_fuzz.cpp
@@ -0,0 +1,16 @@
+// Fuzzes the parser of declarations: each input gives a declaration or an error, never a crash.
+#include "arbutusdale/declare/declaration.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <cstdlib>
+#include <string>
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+  const std::string text(data, data + size);
+  const auto parsed = arbutusdale::declare::parse_declaration("fuzz.json", text);
+  if (!parsed && parsed.error().message.find("fuzz.json") == std::string::npos) {
+    std::abort();  // every error names the file
+  }
+  return 0;
+}
--- /dev/null
+++ b/src/arbutusdale/scenario/matrix.hpp
@@ -0,0 +1,49 @@
+// Fault matrix: every fault at every step that the base scenario takes, and a sample of pairs.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "fault.hpp"
+#include "world.hpp"
+
+namespace arbutusdale::scenario {
+
+/// One run: faults injected at the first occurrence of their steps.
+struct Cell {
+  struct Strike {
+    Fault fault = Fault::kill_daemon;
+    std::string step;
+    Duration length = std::chrono::seconds{15};
+  };
+  std::vector<Strike> strikes;
+  std::uint64_t seed = 1;
+  Mutation mutation = Mutation::none;
+};
+
+struct CellResult {
+  Cell cell;
+  bool struck = false;                // every strike met its step
+  std::vector<std::string> breaches;  // empty when the cell passed
+  std::vector<std::string> trace;
+};
+
+std::string describe(const Cell& cell);
+
+/// Steps that the base scenario takes, in the order of their first occurrence.
+std::vector<std::string> discover_steps(std::uint64_t seed);
+
+/// Every fault at every step, then `pairs` seeded pairs.
+std::vector<Cell> make_cells(const std::vector<std::string>& steps, std::uint64_t seed,
+                             std::uint32_t pairs);
+
+/// Cells in which the deliberate fault `mutation` must be caught at least once.
+std::vector<Cell> mutation_cells(Mutation mutation, std::uint64_t seed);
+
+CellResult run_cell(const Cell& cell);
+
+/// Runs cells on all processors; results are in the order of the cells.
+std::vector<CellResult> run_cells(const std::vector<Cell>& cells, std::uint32_t threads);
+
+}  // namespace arbutusdale::scenario
--- a/src/arbutusdale/state/global_state.cpp
+++ b/src/arbutusdale/state/global_state.cpp
@@ -33,6 +33,12 @@
   return part.SerializeAsString();
 }
 
+bool has_step(const PlanEntry& entry, std::uint32_t step, const std::string& domain) {
+  return std::any_of(entry.steps().begin(), entry.steps().end(), [&](const auto& done) {
+    return done.step() == step && done.domain() == domain;
+  });
+}
+
 class GlobalStateMachine final : public GlobalState {
  public:
   Result<void> apply(std::uint64_t offset, const Record& record) override;
@@ -76,6 +82,7 @@
   void upsert_job(proto::state::JobDecl job);
   void note_ended(const std::string& job);
   void drop_plans();
+  [[nodiscard]] bool all_steps_done(const PlanEntry& entry) const;
 
   std::uint64_t m_version = 0;
   proto::state::Declaration m_declaration;
@@ -323,26 +330,31 @@
     return;
   }
   PlanEntry& entry = it->second;
-  const int changes = entry.plan().changes_size();
-  if (step.step() >= static_cast<std::uint32_t>(changes)) {
-    return;
-  }
-  const auto& done = entry.steps();
-  if (std::any_of(done.begin(), done.end(), [&step](const auto& earlier) {
-        return earlier.step() == step.step() && earlier.domain() == step.domain();
-      })) {
+  if (step.step() > static_cast<std::uint32_t>(entry.plan().changes_size()) ||
+      has_step(entry, step.step(), step.domain())) {
     return;
   }
   *entry.add_steps() = step;
-  std::set<std::uint32_t> ended;
-  for (const auto& earlier : entry.steps()) {
-    ended.insert(earlier.step());
-  }
-  if (ended.size() == static_cast<std::size_t>(changes)) {
+  if (all_steps_done(entry)) {
     entry.set_state("done");
   }
 }
 
+/// Step 0 and changes that name no failure domain need a record of every declared one.
+bool GlobalStateMachine::all_steps_done(const PlanEntry& entry) const {
+  const auto& changes = entry.plan().changes();
+  for (int step = 0; step <= changes.size(); ++step) {
+    const std::string only = step == 0 ? "" : changes.at(step - 1).domain();
+    for (const auto& domain : m_declaration.domains()) {
+      const bool needed = only.empty() || only == domain.name();
+      if (needed && !has_step(entry, static_cast<std::uint32_t>(step), domain.name())) {
+        return false;
+      }
+    }
+  }
+  return true;
+}
+
 void GlobalStateMachine::cancel_job(const std::string& job) {
   if (find_named(m_declaration.jobs(), job) != nullptr) {
     m_cancelled.insert(job);
