--- a/include/arbutusdale/batch/runner.hpp
+++ b/include/arbutusdale/batch/runner.hpp
@@ -158,6 +158,7 @@
   [[nodiscard]] proto::platform::AttemptRequest request_for(const AttemptKey& key) const;
   [[nodiscard]] platform::AgentAddress address_of(const Worker& worker) const;
   void update_takeover();
+  void note_pause(TimePoint now);
   void stale();
 
   /// Completion that does nothing once the runner is gone.
@@ -180,7 +181,9 @@
   TimePoint m_now{};
   bool m_stopped = false;
   bool m_takeover_complete = false;  // never goes back
-  std::optional<TimePoint> m_first_list;
+  std::optional<TimePoint> m_last_tick;
+  std::optional<TimePoint> m_first_list;  // trusted
+  TimePoint m_last_list{};
   std::uint64_t m_report_counter = 0;
 
   JobTable m_jobs;
--- a/src/arbutusdale/batch/runner_progress.cpp
+++ b/src/arbutusdale/batch/runner_progress.cpp
@@ -302,6 +302,13 @@
   if (worker.access == Access::gone) {
     return;
   }
+  // An agent forgets an acknowledged attempt, so a duplicate of its start that is still under way
+  // would run it again. A stop bars the duplicate first.
+  Attempt* attempt = find_attempt(ref);
+  if (attempt != nullptr && attempt->start_may_arrive) {
+    need_attention(ref, *attempt);
+    return;
+  }
   const proto::platform::AttemptRequest request = request_for(ref.key);
   const auto same = [&request](const proto::platform::AttemptRequest& other) {
     return other.job() == request.job() && other.task() == request.task() &&
--- a/src/arbutusdale/batch/runner_tasks.cpp
+++ b/src/arbutusdale/batch/runner_tasks.cpp
@@ -321,13 +321,18 @@
     return false;
   }
   attempt->attention = false;
-  if (attempt->phase == AttemptPhase::ended || attempt->phase == AttemptPhase::recorded) {
+  const bool recorded = attempt->phase == AttemptPhase::recorded;
+  if (attempt->phase == AttemptPhase::ended || (recorded && !attempt->start_may_arrive)) {
     return false;
   }
   if (attempt->command_in_flight || m_now < attempt->next_command) {
     need_attention(ref, *attempt);
     return false;
   }
+  if (recorded) {
+    send_stop(ref, *attempt);
+    return true;
+  }
   if (attempt->resend && attempt->stop == StopReason::none) {
     const bool wanted = attempt->starts_sent < k_max_start_sends &&
                         takes_starts(m_workers[ref.worker]) &&
@@ -407,6 +412,10 @@
   attempt->start_may_arrive = false;
   attempt->missing_since.reset();
   m_workers[ref.worker].next_report = m_now;
+  if (attempt->phase == AttemptPhase::recorded) {
+    queue_acknowledgement(ref);
+    return;
+  }
   if (attempt->stop == StopReason::evicted) {
     await_newer_measurement(m_workers[ref.worker]);
   }
--- a/src/arbutusdale/batch/runner_workers.cpp
+++ b/src/arbutusdale/batch/runner_workers.cpp
@@ -84,15 +84,22 @@
   if (trusted && !m_first_list) {
     m_first_list = now;
   }
+  // Two lists far apart say nothing of the time between them, as after a pause or an outage.
+  const bool gap = now - m_last_list > m_options.gone_after / 2;
+  m_last_list = now;
   std::set<WorkerSlot> present;
   for (const WorkerInfo& info : workers) {
     list_worker(info);
     present.insert(m_slots.at(info.id));
   }
   for (WorkerSlot slot = 0; slot < m_workers.size(); ++slot) {
-    if (!present.contains(slot)) {
-      miss_worker(slot, trusted);
+    if (present.contains(slot)) {
+      continue;
+    }
+    if (gap) {
+      m_workers[slot].absent_since.reset();
     }
+    miss_worker(slot, trusted);
   }
 }
 
--- a/src/arbutusdale/batch/shard_runner.cpp
+++ b/src/arbutusdale/batch/shard_runner.cpp
@@ -23,6 +23,9 @@
     {SeededFault::start_cancelled, "start_cancelled"},
 }};
 
+// Ticks further apart than this mean that the process was paused.
+constexpr Duration k_pause = std::chrono::seconds{3};
+
 }  // namespace
 
 std::string_view to_string(Weighting weighting) {
@@ -75,11 +78,30 @@
   m_stats.takeover_complete = m_takeover_complete;
 }
 
+// A holder that was paused may have been replaced. It acquires its workers again before it starts
+// anything: an agent that knows a higher token refuses, and the runner stops.
+void Runner::note_pause(TimePoint now) {
+  const bool paused = m_last_tick && now - *m_last_tick >= k_pause;
+  m_last_tick = now;
+  if (!paused) {
+    return;
+  }
+  for (WorkerSlot slot = 0; slot < m_workers.size(); ++slot) {
+    Worker& worker = m_workers[slot];
+    if (worker.access == Access::acquired) {
+      worker.access = Access::unacquired;
+      worker.next_acquire = now;
+      update_node(slot);
+    }
+  }
+}
+
 void Runner::tick(TimePoint now) {
-  m_now = now;
   if (m_stopped) {
     return;
   }
+  note_pause(now);
+  m_now = now;
   if (!m_config_seen) {
     state_changed(now);
   }
--- a/src/arbutusdale/batch/takeover_test.cpp
+++ b/src/arbutusdale/batch/takeover_test.cpp
@@ -151,6 +151,26 @@
   cr_assert_eq(world.agents.most_at_once, 1U);
 }
 
+// Guards against a duplicate of a start that arrives after the agent was told to forget the
+// attempt.
+Test(lost_answers, duplicate_start_after_the_end) {
+  World world;
+  add_vms(world, 1);
+  world.take_over();
+  world.run(1s);
+  world.agents.vm("vm-1").delay_starts = true;
+  world.add_job(World::job("plan", 2));
+  world.run(300ms);
+  world.agents.vm("vm-1").delay_starts = false;
+  world.run(3s);
+  end_all(world, AttemptState::ATTEMPT_SUCCEEDED);
+  world.run(5s);
+  cr_assert_eq(world.succeeded("plan"), 2U);
+  cr_assert(world.agents.vm("vm-1").attempts.empty());
+  world.agents.deliver_delayed_starts("vm-1");
+  cr_assert_eq(world.agents.starts_run, 2U);
+}
+
 // Guards against a task that is stuck or doubled when the answers of all commands are lost.
 Test(lost_answers, commands_are_resolved_by_reports) {
   World world;
@@ -324,6 +344,25 @@
   cr_assert_eq(world.agents.starts_run, 5U);
 }
 
+// Guards against a holder that starts tasks after a long pause on a VM that has restarted since and
+// forgotten the successor's token.
+Test(takeover, holder_acquires_again_after_a_pause) {
+  World world;
+  add_vms(world, 2);
+  world.take_over();
+  world.run(1s);
+  world.add_job(World::job("plan", 4));
+  std::unique_ptr<ShardRunner> paused = std::move(world.runner);
+  world.take_over();
+  world.step();
+  world.agents.reboot("vm-1");
+  paused->tick(world.now + 60s);
+  cr_assert_eq(paused->stats().started, 0U);
+  world.agents.deliver();
+  paused->tick(world.now + 61s);
+  cr_assert_eq(paused->stats().started, 0U, "vm-2 has refused its token");
+}
+
 // Guards against a holder that goes on after the log has ended its incarnation.
 Test(takeover, ended_holder_stops_by_itself) {
   World world;
