--- a/src/arbutusdale/routing/request_router_test.cpp
+++ b/src/arbutusdale/routing/request_router_test.cpp
@@ -228,6 +228,43 @@
   cr_assert_eq(retry[0].attempt, 2U);
 }
 
+// Guards against "not run" for a call that is dropped in the queue after an attempt that may have
+// run, and against an attempt of a cancelled call that is sent again.
+Test(retry, dropped_retry_keeps_its_verdict) {
+  RouterOptions options;
+  options.retry_budget_enabled = false;
+  Fixture f{2, 1, options};
+  f.submit(true, "a", 50 * k_ms);
+  f.submit();
+  const auto first = f.take();
+  cr_assert(f.finish(first[0], AttemptResult::connection_lost).next == NextStep::retry);
+  f.now += 60 * k_ms;
+  const auto dropped = f.router->take_dropped(f.now);
+  cr_assert_eq(dropped.size(), 1U);
+  cr_assert(dropped[0].error.verdict == Verdict::may_have_run);
+  f.router->cancel(first[1].call, f.now);
+  const auto end = f.finish(first[1], AttemptResult::not_sent);
+  cr_assert(end.next == NextStep::finish);
+  cr_assert(end.verdict == Verdict::not_run);
+}
+
+// Guards against calls that wait for ever for a service that was removed, and against a crash when
+// an attempt ends after the removal.
+Test(services, removal_drops_queued_calls) {
+  Fixture f{1};
+  f.submit();
+  const auto queued = f.submit();
+  const auto running = f.take();
+  f.router->set_services({}, {});
+  const auto dropped = f.router->take_dropped(f.now);
+  cr_assert_eq(dropped.size(), 1U);
+  cr_assert_eq(dropped[0].call, *queued);
+  cr_assert(f.finish(running[0], AttemptResult::answered).verdict == Verdict::answered);
+  cr_assert(f.submit().error().code == ErrorCode::not_found);
+  f.router->set_services({}, {});
+  cr_assert(f.router->figures().empty());
+}
+
 // Guards against retries that multiply the load when every target fails.
 Test(retry, amplification_is_bounded) {
   Fixture f{10};
