Bound the key table's work while its owner cannot be reached

Each outcome that waited for an acknowledgement was looked at again when another one was posted, which is quadratic while the owner is unreachable. Only the new message is sent now. Keys run alone were kept for ever in a failure domain with a single daemon; they are dropped with the store's record.

--- a/src/arbutusdale/routing/key_entry.cpp
+++ b/src/arbutusdale/routing/key_entry.cpp
@@ -216,8 +216,11 @@
       due.push_back(request_id);
     }
   }
+  // A callback may decide further requests, so each is looked up again.
   for (const auto request_id : expired) {
-    abandon(request_id, now);
+    if (m_pending.contains(request_id)) {
+      abandon(request_id, now);
+    }
   }
   for (const auto request_id : due) {
     if (m_pending.contains(request_id)) {
--- a/src/arbutusdale/routing/key_exchange.cpp
+++ b/src/arbutusdale/routing/key_exchange.cpp
@@ -167,14 +167,8 @@
   if (m_unwitnessed.empty() || m_live.empty()) {
     return;
   }
-  std::erase_if(m_unwitnessed,
-                [this](const auto& key) { return !m_store.may_have_run(key.second); });
   m_outbox.erase(m_registration);
-  m_registration = 0;
   m_registering.clear();
-  if (m_unwitnessed.empty()) {
-    return;
-  }
   const std::uint64_t id = next_id();
   proto::peer::PeerMessage message;
   auto* list = message.mutable_key_list();
@@ -186,8 +180,11 @@
     if (m_registering.size() >= k_registered_at_once) {
       break;
     }
-    const auto* known = m_store.find(key_id);
     m_registering.push_back(request_id);
+    const auto* known = m_store.find(key_id);
+    if (known == nullptr || known->freed) {
+      continue;
+    }
     auto* key = list->add_keys();
     key->set_service(key_id.service);
     key->set_key(key_id.key);
@@ -232,24 +229,34 @@
   send(from, std::move(reply));
 }
 
+// Ids grow with time, so keys that are forgotten come first.
+void KeyTableImpl::prune_unwitnessed() {
+  while (!m_unwitnessed.empty() && !m_store.may_have_run(m_unwitnessed.begin()->second)) {
+    m_unwitnessed.erase(m_unwitnessed.begin());
+  }
+}
+
 void KeyTableImpl::post(std::uint64_t id, Outgoing outgoing, TimePoint now) {
-  outgoing.next_send = now;
-  m_outbox[id] = std::move(outgoing);
-  resend(now);
+  auto& posted = m_outbox[id] = std::move(outgoing);
+  transmit(posted, now);
+}
+
+void KeyTableImpl::transmit(Outgoing& outgoing, TimePoint now) {
+  outgoing.next_send = now + k_resend_interval;
+  std::string to = outgoing.to;
+  if (to.empty() && outgoing.shard < m_shards.size()) {
+    to = m_shards[outgoing.shard].daemon;
+  }
+  if (!to.empty() && to != m_options.daemon) {
+    send(to, outgoing.message);
+  }
 }
 
 void KeyTableImpl::resend(TimePoint now) {
   std::erase_if(m_outbox, [now](const auto& entry) { return entry.second.until <= now; });
   for (auto& [id, outgoing] : m_outbox) {
-    if (outgoing.next_send > now) {
-      continue;
-    }
-    outgoing.next_send = now + k_resend_interval;
-    const bool to_owner = outgoing.to.empty();
-    const bool known = !to_owner || outgoing.shard < m_shards.size();
-    const std::string to = !to_owner || !known ? outgoing.to : m_shards[outgoing.shard].daemon;
-    if (!to.empty() && to != m_options.daemon) {
-      send(to, outgoing.message);
+    if (outgoing.next_send <= now) {
+      transmit(outgoing, now);
     }
   }
 }
--- a/src/arbutusdale/routing/key_table.cpp
+++ b/src/arbutusdale/routing/key_table.cpp
@@ -53,7 +53,9 @@
     }
   }
   for (const auto request_id : moved) {
-    drive(request_id, now);
+    if (m_pending.contains(request_id)) {
+      drive(request_id, now);
+    }
   }
 }
 
@@ -108,6 +110,7 @@
 void KeyTableImpl::tick(TimePoint now) {
   observe(now);
   m_store.expire(now);
+  prune_unwitnessed();
   std::erase_if(m_handovers, [&](const auto& entry) {
     return now - entry.second.seen > 2 * m_options.retention;
   });
--- a/src/arbutusdale/routing/key_table_impl.hpp
+++ b/src/arbutusdale/routing/key_table_impl.hpp
@@ -110,6 +110,8 @@
   void send_queries(std::uint32_t shard);
   void send_pledges(TimePoint now);
   void register_unwitnessed(TimePoint now);
+  void prune_unwitnessed();
+  void transmit(Outgoing& outgoing, TimePoint now);
   void resend(TimePoint now);
   void post(std::uint64_t id, Outgoing outgoing, TimePoint now);
 
