--- a/include/arbutusdale/gateway/gateway.hpp
+++ b/include/arbutusdale/gateway/gateway.hpp
@@ -80,7 +80,8 @@
   virtual void finish(const routing::KeyedCall& call, bool not_run, std::string answer) = 0;
 };
 
-/// Parts that the gateway uses; `keys`, `tracer` and `admin` may be null. All outlive it.
+/// Parts that the gateway uses; `keys`, `tracer` and `admin` may be null. All outlive it, and a
+/// KeyGate makes no decision while the gateway is being destroyed.
 struct GatewayParts {
   std::unique_ptr<routing::RequestRouter> router;
   const Clock* clock = nullptr;
--- a/src/arbutusdale/gateway/caller_watch.cpp
+++ b/src/arbutusdale/gateway/caller_watch.cpp
@@ -22,13 +22,19 @@
 }
 
 CallerWatch::~CallerWatch() {
-  m_stopping = true;
-  eventfd_write(m_wakeup, 1);
-  m_thread.join();
+  stop();
   close(m_wakeup);
   close(m_epoll);
 }
 
+void CallerWatch::stop() {
+  if (m_thread.joinable()) {
+    m_stopping = true;
+    eventfd_write(m_wakeup, 1);
+    m_thread.join();
+  }
+}
+
 bool CallerWatch::add(int socket, std::uint64_t id) const {
   epoll_event event{};
   event.events = EPOLLRDHUP | EPOLLONESHOT;
--- a/src/arbutusdale/gateway/caller_watch.hpp
+++ b/src/arbutusdale/gateway/caller_watch.hpp
@@ -18,6 +18,8 @@
 
   [[nodiscard]] bool add(int socket, std::uint64_t id) const;
   void remove(int socket) const;
+  /// Ends the thread; `gone` is not called any more when this returns.
+  void stop();
 
  private:
   void run();
--- a/src/arbutusdale/gateway/dispatcher.cpp
+++ b/src/arbutusdale/gateway/dispatcher.cpp
@@ -222,7 +222,10 @@
   Work work;
   {
     const std::lock_guard lock(m_mutex);
-    m_parts.router->set_peers(service, own_domain, other_domains, now());
+    // Without the fleet's token a peer could not tell a forwarded call, and might forward it again.
+    const bool can_forward = !m_options.fleet_token.empty();
+    m_parts.router->set_peers(
+        service, own_domain, can_forward ? other_domains : std::vector<routing::PeerInfo>{}, now());
     work = collect_locked(now());
   }
   act(work);
--- a/src/arbutusdale/gateway/exchange.cpp
+++ b/src/arbutusdale/gateway/exchange.cpp
@@ -183,7 +183,7 @@
   const auto release = [](void* context) { delete static_cast<SharedExchange*>(context); };
   const std::uint64_t size = m_length.value_or(MHD_SIZE_UNKNOWN);
   const std::size_t block = std::clamp<std::uint64_t>(size, 1, k_block_bytes);
-  auto* self = new SharedExchange(m_server.find(m_id));
+  auto* self = new SharedExchange(shared_from_this());
   return MHD_create_response_from_callback(size, block, reader, self, release);
 }
 
--- a/src/arbutusdale/gateway/http_server.cpp
+++ b/src/arbutusdale/gateway/http_server.cpp
@@ -114,6 +114,7 @@
     }
     std::this_thread::sleep_for(k_stop_poll);
   }
+  m_watch.stop();
   MHD_stop_daemon(m_daemon);
   m_daemon = nullptr;
   ::close(m_listen_socket);
--- a/src/arbutusdale/gateway/http_server.hpp
+++ b/src/arbutusdale/gateway/http_server.hpp
@@ -41,7 +41,7 @@
 
 /// One call of a caller. The request is complete and constant when the handler receives it; the
 /// answer may be given from any thread, either whole or as a stream.
-class Exchange {
+class Exchange : public std::enable_shared_from_this<Exchange> {
  public:
   Exchange(HttpServerImpl& server, std::uint64_t id, std::string target)
       : m_server(server), m_id(id), m_target(std::move(target)) {}
--- a/src/arbutusdale/gateway/upstream.cpp
+++ b/src/arbutusdale/gateway/upstream.cpp
@@ -196,11 +196,15 @@
     event.data.fd = socket;
     event.events |= (what & CURL_POLL_IN) != 0 ? static_cast<std::uint32_t>(EPOLLIN) : 0U;
     event.events |= (what & CURL_POLL_OUT) != 0 ? static_cast<std::uint32_t>(EPOLLOUT) : 0U;
+    // libcurl may close a socket after a timeout without saying so; the kernel then forgets it, and
+    // its number may come back for another socket. So either operation falls back to the other.
+    const int likely = registered == nullptr ? EPOLL_CTL_ADD : EPOLL_CTL_MOD;
+    const int other = registered == nullptr ? EPOLL_CTL_MOD : EPOLL_CTL_ADD;
+    if (epoll_ctl(engine.m_epoll, likely, socket, &event) != 0) {
+      epoll_ctl(engine.m_epoll, other, socket, &event);
+    }
     if (registered == nullptr) {
-      epoll_ctl(engine.m_epoll, EPOLL_CTL_ADD, socket, &event);
       curl_multi_assign(engine.m_multi, socket, self);
-    } else {
-      epoll_ctl(engine.m_epoll, EPOLL_CTL_MOD, socket, &event);
     }
     return 0;
   }
