Wire the key table to the stream and make unreachable keys "may have run"

Cause: the key table took liveness from heartbeats, so an owner that hears nobody could run keys without a witness; a keyed call whose home domain is unreachable was refused as "not run", although an earlier try with the key may have run there.

--- a/include/arbutusdale/state/domain_state.hpp
+++ b/include/arbutusdale/state/domain_state.hpp
@@ -13,6 +13,9 @@
 
 namespace arbutusdale::state {
 
+/// Reason of an `IncarnationEnded` record that a daemon writes of itself at a graceful stop.
+inline constexpr const char* k_reason_left = "left";
+
 /// Ownership of one shard. The term is the offset of the claim and the workers' fencing token.
 struct ShardOwner {
   std::uint32_t shard = 0;
--- a/src/arbutusdale/control/incarnations.cpp
+++ b/src/arbutusdale/control/incarnations.cpp
@@ -152,7 +152,7 @@
 void Incarnations::leave() {
   if (joined() && !m_leaving) {
     m_context.domain_stream.propose(
-        ended_record(m_context.options.daemon, m_context.incarnation, "left"), true,
+        ended_record(m_context.options.daemon, m_context.incarnation, state::k_reason_left), true,
         [](const Result<std::uint64_t>&) {});
   }
   m_leaving = true;
--- a/src/arbutusdale/control/key_service.cpp
+++ b/src/arbutusdale/control/key_service.cpp
@@ -15,6 +15,7 @@
   routing::KeyOptions options;
   options.daemon = m_context.options.daemon;
   options.domain = m_context.options.domain;
+  options.incarnation = m_context.incarnation;
   m_table = routing::make_key_table(
       options, [this](const std::string& daemon, proto::peer::PeerMessage message) {
         send(daemon, std::move(message));
@@ -33,11 +34,23 @@
 }
 
 void KeyService::tick(TimePoint now, std::uint32_t shards) {
-  m_table->set_live(live_in_domain(m_context, now));
+  m_table->set_live(others_alive());
   refresh_shards(now, shards);
   m_table->tick(now);
 }
 
+/// By the stream and not by heartbeats: an owner that hears nobody must not believe that it is
+/// alone.
+std::vector<std::string> KeyService::others_alive() const {
+  std::vector<std::string> daemons;
+  for (const auto& entry : m_context.domain.incarnations()) {
+    if (entry.ended_offset() == 0 && entry.daemon() != m_context.options.daemon) {
+      daemons.push_back(entry.daemon());
+    }
+  }
+  return daemons;
+}
+
 void KeyService::refresh_shards(TimePoint now, std::uint32_t shards) {
   std::vector<std::pair<std::string, std::uint64_t>> current;
   std::vector<routing::KeyTable::ShardView> views;
@@ -47,7 +60,10 @@
     current.emplace_back(daemon, owner.term);
     views.push_back({daemon, owner.term});
   }
-  if (current != m_shard_view) {
+  // Each read of the stream proves anew that the terms are current.
+  const auto& stats = m_context.domain_stream.stats();
+  if (stats.bytes_read != m_bytes_read || current != m_shard_view) {
+    m_bytes_read = stats.bytes_read;
     m_shard_view = std::move(current);
     m_table->set_shards(views, now);
   }
@@ -57,24 +73,16 @@
   m_table->receive(message, now);
 }
 
-void KeyService::incarnation_ended(const proto::state::IncarnationEnded& ended,
-                                   std::uint64_t written_at_ms) {
-  // A daemon that left gracefully has handed its keys to its peers.
-  if (ended.reason() != "left") {
-    m_ended_ms[{ended.daemon(), ended.incarnation()}] = written_at_ms;
-  }
-}
-
 bool KeyService::may_hold_keys(const proto::state::IncarnationEntry& entry,
                                std::uint64_t previous_term) const {
   if (entry.ended_offset() == 0) {
     return true;
   }
-  const auto ended = m_ended_ms.find({entry.daemon(), entry.incarnation()});
-  if (ended == m_ended_ms.end() || entry.ended_offset() < previous_term) {
+  // A daemon that left gracefully has handed its keys to its peers.
+  if (entry.left() || entry.ended_offset() < previous_term) {
     return false;
   }
-  return m_context.environment.clock.wall_ms() < ended->second + k_doubt_after_end_ms;
+  return m_context.environment.clock.wall_ms() < entry.ended_at_ms() + k_doubt_after_end_ms;
 }
 
 void KeyService::begin_term(std::uint32_t shard, std::uint64_t term, std::uint64_t previous_term,
@@ -87,7 +95,11 @@
       if (self || !may_hold_keys(entry, previous_term)) {
         continue;
       }
-      witnesses.push_back({entry.daemon(), {}, entry.ended_offset() == 0});
+      routing::TermWitness witness;
+      witness.daemon = entry.daemon();
+      witness.incarnation = entry.incarnation();
+      witness.alive = entry.ended_offset() == 0;
+      witnesses.push_back(std::move(witness));
     }
   }
   m_table->begin_term(shard, term, witnesses, now);
--- a/src/arbutusdale/control/key_service.hpp
+++ b/src/arbutusdale/control/key_service.hpp
@@ -3,7 +3,6 @@
 
 #include "arbutusdale/routing/key_table.hpp"
 
-#include <map>
 #include <memory>
 #include <string>
 #include <utility>
@@ -23,20 +22,18 @@
   /// This daemon holds a new term; asks every incarnation that may know keys of earlier ones.
   void begin_term(std::uint32_t shard, std::uint64_t term, std::uint64_t previous_term,
                   TimePoint now);
-  /// Notes when an incarnation ended, to tell whether its keys may still be in their retention.
-  void incarnation_ended(const proto::state::IncarnationEnded& ended, std::uint64_t written_at_ms);
-
   [[nodiscard]] routing::KeyTable& table() { return *m_table; }
 
  private:
   void send(const std::string& daemon, proto::peer::PeerMessage message);
+  [[nodiscard]] std::vector<std::string> others_alive() const;
   void refresh_shards(TimePoint now, std::uint32_t shards);
   [[nodiscard]] bool may_hold_keys(const proto::state::IncarnationEntry& entry,
                                    std::uint64_t previous_term) const;
 
   Context m_context;
   std::unique_ptr<routing::KeyTable> m_table;
-  std::map<std::pair<std::string, std::uint64_t>, std::uint64_t> m_ended_ms;  // abrupt ends only
+  std::uint64_t m_bytes_read = 0;  // of the stream when the terms were last confirmed
   std::vector<std::pair<std::string, std::uint64_t>> m_shard_view;  // holder and term by shard
 };
 
--- a/src/arbutusdale/control/node.cpp
+++ b/src/arbutusdale/control/node.cpp
@@ -120,10 +120,6 @@
   m_domain_handler.on_joined([this](const proto::state::DaemonJoined& joined) {
     m_incarnations.seen_in_log(joined, m_now);
   });
-  m_domain_handler.on_ended(
-      [this](const proto::state::IncarnationEnded& ended, std::uint64_t written_at_ms) {
-        m_keys.incarnation_ended(ended, written_at_ms);
-      });
   m_environment.peers.on_message(
       [this](const proto::peer::PeerMessage& message) { receive(message); });
 }
--- a/src/arbutusdale/control/stream_handlers.hpp
+++ b/src/arbutusdale/control/stream_handlers.hpp
@@ -35,21 +35,16 @@
 class DomainHandler final : public state::StreamHandler {
  public:
   using Joined = std::function<void(const proto::state::DaemonJoined&)>;
-  using Ended = std::function<void(const proto::state::IncarnationEnded&, std::uint64_t)>;
 
   explicit DomainHandler(state::DomainState& state) : m_state(state) {}
 
   void on_joined(Joined handler) { m_joined = std::move(handler); }
-  void on_ended(Ended handler) { m_ended = std::move(handler); }
 
   Result<void> apply(std::uint64_t offset, const proto::state::Record& record) override {
     auto applied = m_state.apply(offset, record);
     if (applied && record.has_daemon_joined() && m_joined) {
       m_joined(record.daemon_joined());
     }
-    if (applied && record.has_incarnation_ended() && m_ended) {
-      m_ended(record.incarnation_ended(), record.written_at_ms());
-    }
     return applied;
   }
   std::string save_snapshot() override { return m_state.snapshot().SerializeAsString(); }
@@ -65,7 +60,6 @@
  private:
   state::DomainState& m_state;
   Joined m_joined;
-  Ended m_ended;
 };
 
 }  // namespace arbutusdale::control
--- a/src/arbutusdale/gateway/caller_entry.cpp
+++ b/src/arbutusdale/gateway/caller_entry.cpp
@@ -120,8 +120,9 @@
   } else if (route.kind == KeyRoute::Kind::forward && can_forward) {
     call->forward_to(route.address);
   } else {
-    call->refuse(refusal(ErrorCode::unavailable,
-                         "the failure domain that decides this key cannot be reached"));
+    // This call is not sent, but an earlier try with the same key may have run there.
+    call->refuse({ErrorCode::unavailable, Verdict::may_have_run,
+                  "the failure domain that decides this key cannot be reached"});
   }
 }
 
--- a/src/arbutusdale/gateway/proxy_call.cpp
+++ b/src/arbutusdale/gateway/proxy_call.cpp
@@ -246,9 +246,10 @@
       return;
     }
   } else {
-    completion.verdict = result == AttemptResult::not_sent        ? Verdict::not_run
-                         : end.result == UpstreamResult::complete ? Verdict::answered
-                                                                  : Verdict::may_have_run;
+    // A keyed call that does not reach its home domain is not sent, but an earlier try with the
+    // same key may have run there.
+    completion.verdict =
+        end.result == UpstreamResult::complete ? Verdict::answered : Verdict::may_have_run;
   }
   if (end.result == UpstreamResult::complete) {
     finish_answered(completion.verdict);
--- a/src/arbutusdale/state/domain_state.cpp
+++ b/src/arbutusdale/state/domain_state.cpp
@@ -153,7 +153,7 @@
  private:
   void dispatch(std::uint64_t offset, const Record& record);
   void join(std::uint64_t offset, const proto::state::DaemonJoined& joined);
-  void end(std::uint64_t offset, const proto::state::IncarnationEnded& ended);
+  void end(std::uint64_t offset, const Record& record);
   void claim(std::uint64_t offset, const proto::state::ShardClaimed& claim);
   void release(const proto::state::ShardReleased& released);
   void progress(const proto::state::TaskProgress& progress);
@@ -203,7 +203,7 @@
   if (record.has_daemon_joined()) {
     join(offset, record.daemon_joined());
   } else if (record.has_incarnation_ended()) {
-    end(offset, record.incarnation_ended());
+    end(offset, record);
   } else if (record.has_shard_claimed()) {
     claim(offset, record.shard_claimed());
   } else if (record.has_shard_released()) {
@@ -279,7 +279,8 @@
   m_incarnations.push_back(std::move(entry));
 }
 
-void DomainStateMachine::end(std::uint64_t offset, const proto::state::IncarnationEnded& ended) {
+void DomainStateMachine::end(std::uint64_t offset, const Record& record) {
+  const auto& ended = record.incarnation_ended();
   IncarnationEntry* entry = find(ended.daemon(), ended.incarnation());
   if (entry == nullptr) {
     // Kept as ended, so that a join that the log delivers late does not revive the incarnation.
@@ -293,6 +294,8 @@
     return;
   }
   entry->set_ended_offset(std::max<std::uint64_t>(offset, 1));
+  entry->set_ended_at_ms(record.written_at_ms());
+  entry->set_left(ended.reason() == k_reason_left);
   for (auto& [number, owner] : m_shards) {
     if (owner.daemon == ended.daemon() && owner.incarnation == ended.incarnation()) {
       owner.owned = false;
