--- a/src/arbutusdale/cli/commands.cpp
+++ b/src/arbutusdale/cli/commands.cpp
@@ -1,6 +1,7 @@
 // Runs the verbs against the admin API.
 #include "commands.hpp"
 
+#include "arbutusdale/peer/zmq_network.hpp"
 #include "arbutusdale/declare/declare.hpp"
 
 #include <ostream>
@@ -30,6 +31,7 @@
   Exit show(const std::string& path, std::string (*render)(const Json&));
   Exit validate();
   Exit completion();
+  Exit keygen();
 
   /// Declaration of the files named on the command line, or nothing after an error was printed.
   std::optional<proto::state::Declaration> read_declaration();
@@ -85,6 +87,9 @@
   if (verb == "completion") {
     return completion();
   }
+  if (verb == "keygen") {
+    return keygen();
+  }
   Json request = make_request({});
   request[verb == "drain" ? "drain_vms" : "cancel_jobs"] = m_options.arguments;
   return request_plan(request);
@@ -202,6 +207,13 @@
   return Exit::ok;
 }
 
+Exit Command::keygen() {
+  const auto keys = peer::make_fleet_keys();
+  fmt::print(m_env.out, "ARBUTUSDALE_FLEET_PUBLIC_KEY='{}'\nARBUTUSDALE_FLEET_SECRET_KEY='{}'\n",
+             keys.public_key, keys.secret_key);
+  return Exit::ok;
+}
+
 std::optional<Json> Command::check(const Result<HttpAnswer>& answer) {
   if (!answer) {
     fmt::print(m_env.err, "arbutusctl: {}{}\n", answer.error().message,
--- a/src/arbutusdale/cli/options.cpp
+++ b/src/arbutusdale/cli/options.cpp
@@ -150,7 +150,8 @@
 }
 
 Result<void> check_server(const Options& options) {
-  const bool is_local = options.help || options.verb == "validate" || options.verb == "completion";
+  const bool is_local = options.help || options.verb == "validate" || options.verb == "keygen" ||
+                        options.verb == "completion";
   if (is_local) {
     return {};
   }
@@ -210,6 +211,7 @@
       {"drain", "VM", 1, 1, "Makes a plan that drains a VM."},
       {"cancel", "JOB", 1, 1, "Makes a plan that cancels a job."},
       {"validate", "FILE...", 1, k_max_arguments, "Checks declaration files without a server."},
+      {"keygen", "", 0, 0, "Prints a new CURVE key pair for the daemons of a fleet."},
       {"completion", "bash", 1, 1, "Prints the completion script of a shell."},
   };
   return k_table;
--- a/src/arbutusdale/declare/declare.cpp
+++ b/src/arbutusdale/declare/declare.cpp
@@ -149,7 +149,7 @@
   for (const auto& domain : reader.names("domains")) {
     service.add_domains(domain);
   }
-  service.set_vm_prefix(reader.text("vm_prefix", name_rule()));
+  service.set_vm_prefix(reader.text("vm_prefix", name_rule(), false));
   service.set_slots(reader.small("slots", {1, k_max_slots, std::nullopt}));
   service.set_connections(
       reader.small("connections", {1, k_max_connections, k_default_connections}));
--- a/src/arbutusdale/fuzz/declaration_fuzz.cpp
+++ b/src/arbutusdale/fuzz/declaration_fuzz.cpp
@@ -1,5 +1,5 @@
 // Fuzzes the parser of declarations: each input gives a declaration or an error, never a crash.
-#include "arbutusdale/declare/declaration.hpp"
+#include "arbutusdale/declare/declare.hpp"
 
 #include <cstddef>
 #include <cstdint>
