--- a/src/arbutusdale/cli/commands.cpp
+++ b/src/arbutusdale/cli/commands.cpp
@@ -1,8 +1,8 @@
 // Runs the verbs against the admin API.
 #include "commands.hpp"
 
-#include "arbutusdale/peer/zmq_network.hpp"
 #include "arbutusdale/declare/declare.hpp"
+#include "arbutusdale/peer/zmq_network.hpp"
 
 #include <ostream>
 #include <vector>
