--- /dev/null
+++ b/src/arbutusdale/bench/batch_experiment.hpp
@@ -0,0 +1,34 @@
+// Comparison of the batch decision rules with their baselines on simulated workers.
+#pragma once
+
+#include "arbutusdale/batch/shard_runner.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace arbutusdale::bench {
+
+struct BatchExperimentOptions {
+  std::uint64_t seed = 1;
+  std::uint32_t minutes = 20;  // simulated
+};
+
+/// Figures of one run of one shard.
+struct BatchFigures {
+  double tasks_per_hour = 0;
+  double core_seconds_per_hour = 0;  // of tasks that succeeded
+  std::uint64_t evictions = 0;
+  double over_target = 0;   // share of service samples over the p99 target
+  double urgent_p99_s = 0;  // from the confirmation to the start; unstarted tasks count as waiting
+  std::uint64_t urgent_unstarted = 0;
+  double appends_per_task = 0;
+  double bytes_per_task = 0;
+};
+
+BatchFigures run_batch(const BatchExperimentOptions& options, batch::Weighting weighting,
+                       const batch::BatchPolicies& policies);
+
+/// Runs the full policy and each baseline under both weightings and returns a table.
+std::string run_batch_experiment(const BatchExperimentOptions& options);
+
+}  // namespace arbutusdale::bench
