Pace the agents' reports by their size

Cause: at the target size a daemon's 54 workers with about 12 attempts each send about 55 KB of reports a second at one report a second, above the budget of 20 KB/s. Change: the interval grows so that the answers of a shard's agents stay within 10 KB/s, from 1 s to at most 10 s; small reports keep 1 s.

--- a/include/arbutusdale/batch/runner.hpp
+++ b/include/arbutusdale/batch/runner.hpp
@@ -55,6 +55,7 @@
   void on_acquired(WorkerSlot slot, std::uint64_t number, const AgentResult& result);
   void request_report(WorkerSlot slot);
   void on_report(WorkerSlot slot, std::uint64_t number, const AgentResult& result);
+  void pace_reports(std::size_t bytes);
   void renew(WorkerSlot slot);
   void acknowledge(WorkerSlot slot);
   void on_acknowledged(WorkerSlot slot, const proto::platform::AcknowledgeRequest& request,
@@ -172,6 +173,8 @@
   }
 
   ShardOptions m_options;
+  Duration m_report_interval = m_options.report_interval;
+  double m_report_bytes = 0;  // smoothed size of one report
   const state::GlobalState& m_global;
   const state::DomainState& m_domain;
   state::Stream& m_stream;
--- a/include/arbutusdale/batch/shard_runner.hpp
+++ b/include/arbutusdale/batch/shard_runner.hpp
@@ -73,7 +73,8 @@
   std::uint64_t term = 0;  // offset of the claim; fencing token of every worker of the shard
   Weighting weighting = Weighting::throughput;
   Duration lease = std::chrono::seconds{30};
-  Duration report_interval = std::chrono::seconds{1};
+  Duration report_interval = std::chrono::seconds{1};  // grows to keep the next bound
+  std::uint32_t report_bytes_per_second = 10'000;      // answers of all agents of the shard
   Duration gone_after = std::chrono::seconds{60};  // absence from the list that proves a VM gone
   std::uint32_t default_max_tries = 4;
   bool agent_fencing = true;
--- a/src/arbutusdale/batch/fake_agents.hpp
+++ b/src/arbutusdale/batch/fake_agents.hpp
@@ -46,6 +46,8 @@
  public:
   using Reply = platform::WorkerAgents::Reply;
 
+  std::size_t reports = 0;  // asked for, over all VMs
+
   FakeVm& vm(const std::string& id) { return m_vms[id]; }
 
   void acquire(const platform::AgentAddress& agent, const proto::platform::AcquireRequest& request,
@@ -60,6 +62,7 @@
             [this, agent](AgentReply&) { vm(agent.worker).commands.emplace_back("renew"); });
   }
   void report(const platform::AgentAddress& agent, Reply done) override {
+    ++reports;
     command(agent, vm(agent.worker).token, done, [this, agent](AgentReply& reply) {
       *reply.mutable_report() = report_of(vm(agent.worker));
     });
--- a/src/arbutusdale/batch/runner_reports.cpp
+++ b/src/arbutusdale/batch/runner_reports.cpp
@@ -258,7 +258,7 @@
   }
   const Duration missing = m_now - *attempt.missing_since;
   if (attempt.fenced) {
-    if (missing < k_missing_intervals_fenced * m_options.report_interval) {
+    if (missing < k_missing_intervals_fenced * m_report_interval) {
       return;
     }
     if (attempt.reported) {
@@ -268,7 +268,7 @@
     }
     return;
   }
-  if (attempt.reported && missing < k_missing_intervals_started * m_options.report_interval) {
+  if (attempt.reported && missing < k_missing_intervals_started * m_report_interval) {
     return;
   }
   if (attempt.reported && attempt.stop == StopReason::none) {
--- a/src/arbutusdale/batch/runner_services.cpp
+++ b/src/arbutusdale/batch/runner_services.cpp
@@ -78,7 +78,7 @@
       worker.measured_at_ms + milliseconds(m_now - worker.measured_received);
   worker.act_after_measured_ms =
       std::max(worker.act_after_measured_ms,
-               now_at_agent + milliseconds(k_settle_intervals * m_options.report_interval));
+               now_at_agent + milliseconds(k_settle_intervals * m_report_interval));
 }
 
 void Runner::react(WorkerSlot slot) {
--- a/src/arbutusdale/batch/runner_workers.cpp
+++ b/src/arbutusdale/batch/runner_workers.cpp
@@ -6,6 +6,12 @@
 namespace arbutusdale::batch {
 namespace {
 
+// A change of the reports' size shows in the interval after about ten reports.
+constexpr double k_report_bytes_gain = 0.1;
+constexpr double k_us_per_second = 1e6;
+// Well below the lease, so that the end of a task is seen and its worker renewed in time.
+constexpr Duration k_max_report_interval = std::chrono::seconds{10};
+
 using proto::platform::AgentReply;
 
 constexpr Duration k_acquire_retry = std::chrono::seconds{1};
@@ -191,7 +197,7 @@
     return;
   }
   worker.access = Access::acquired;
-  worker.next_report = m_now + m_options.report_interval;
+  worker.next_report = m_now + m_report_interval;
   worker.next_renew = m_now;
   handle_report(slot, number, result->report());
 }
@@ -199,7 +205,7 @@
 void Runner::request_report(WorkerSlot slot) {
   Worker& worker = m_workers[slot];
   worker.report_in_flight = true;
-  worker.next_report = m_now + m_options.report_interval;
+  worker.next_report = m_now + m_report_interval;
   const std::uint64_t number = ++m_report_counter;
   m_agents.report(address_of(worker), guarded([this, slot, number](const AgentResult& result) {
                     on_report(slot, number, result);
@@ -223,10 +229,22 @@
     return;
   }
   if (result->code() == AgentReply::OK && result->has_report()) {
+    pace_reports(result->ByteSizeLong());
     handle_report(slot, number, result->report());
   }
 }
 
+// Reports of many attempts at the shortest interval would exceed the daemon's traffic budget:
+// 54 workers with 12 attempts each send about 55 KB per second.
+void Runner::pace_reports(std::size_t bytes) {
+  m_report_bytes += (static_cast<double>(bytes) - m_report_bytes) * k_report_bytes_gain;
+  const double seconds = m_report_bytes * static_cast<double>(m_stats.workers_acquired) /
+                         static_cast<double>(m_options.report_bytes_per_second);
+  const Duration needed{static_cast<std::int64_t>(seconds * k_us_per_second)};
+  m_report_interval = std::clamp(needed, m_options.report_interval,
+                                 std::max(k_max_report_interval, m_options.report_interval));
+}
+
 // A lease that is not renewed must have lapsed before the VM may count as gone.
 bool Runner::may_renew(const Worker& worker) const {
   return !worker.absent_since ||
@@ -245,7 +263,7 @@
                    Worker& renewed = m_workers[slot];
                    renewed.renew_in_flight = false;
                    if (!result) {
-                     renewed.next_renew = m_now + m_options.report_interval;
+                     renewed.next_renew = m_now + m_report_interval;
                      return;
                    }
                    answered(renewed);
