Close fresh connections after their call

Cause: non-idempotent calls use a fresh connection each, which stayed in the pool for 15 s. At 5 calls a second per worker more than 64 connections were open, the target refused some, and calls waited or ended as may_have_run. Ruled out: the stand-in itself (POST directly: p99 14 ms). Change: fresh connections are not kept; a test counts their closing and fails without the change.

--- a/src/arbutusdale/gateway/test_support.hpp
+++ b/src/arbutusdale/gateway/test_support.hpp
@@ -4,6 +4,7 @@
 #include "arbutusdale/gateway/gateway.hpp"
 
 #include <atomic>
+#include <chrono>
 #include <condition_variable>
 #include <functional>
 #include <memory>
@@ -165,6 +166,13 @@
     m_changed.wait(lock, [&] { return m_requests.size() >= count; });
   }
 
+  /// True when the gateway has closed `count` connections; gives up after a long time.
+  bool wait_for_closed(int count) {
+    constexpr auto k_give_up = std::chrono::seconds{10};
+    std::unique_lock lock(m_mutex);
+    return m_changed.wait_for(lock, k_give_up, [&] { return m_closed >= count; });
+  }
+
   /// Blocks a script until `release` is called.
   void wait_for_release() {
     std::unique_lock lock(m_mutex);
@@ -197,6 +205,9 @@
       TargetRequest request;
       request.head = connection.read_head();
       if (request.head.empty()) {
+        const std::lock_guard lock(m_mutex);
+        ++m_closed;
+        m_changed.notify_all();
         break;
       }
       const auto length = header_of(request.head, "Content-Length");
@@ -222,6 +233,7 @@
   std::condition_variable m_changed;
   std::vector<TargetRequest> m_requests;
   bool m_released = false;
+  int m_closed = 0;  // connections that the gateway closed between requests
   std::thread m_acceptor;
 };
 
--- a/src/arbutusdale/gateway/transfer.cpp
+++ b/src/arbutusdale/gateway/transfer.cpp
@@ -54,6 +54,9 @@
   curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(easy, CURLOPT_FOLLOWLOCATION, 0L);
   curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, m_request.fresh_connection ? 1L : 0L);
+  // A kept one would add an idle connection to the pool with every such call: at 5 calls a second
+  // and 15 s of idle time more than the 64 connections that a worker allows.
+  curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, m_request.fresh_connection ? 1L : 0L);
   curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &on_header);
   curl_easy_setopt(easy, CURLOPT_HEADERDATA, this);
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &on_data);
--- a/src/arbutusdale/gateway/verdict_test.cpp
+++ b/src/arbutusdale/gateway/verdict_test.cpp
@@ -267,3 +267,18 @@
   }
   target.release();
 }
+
+// Guards against connections of non-idempotent calls that stay open: they use a fresh one each, and
+// at 5 calls a second kept ones exceeded the 64 connections that a worker allows.
+Test(verdict, fresh_connections_are_closed_after_their_call) {
+  ScriptedTarget target([](Connection& connection, const TargetRequest&) {
+    connection.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    return true;
+  });
+  TestGateway gateway({target.address()});
+  constexpr int k_calls = 3;
+  for (int i = 0; i < k_calls; ++i) {
+    cr_assert_eq(call(gateway.port(), "POST", "/quote", "", "x").status(), 200);
+  }
+  cr_assert(target.wait_for_closed(k_calls));
+}
