Trace the hops of batch tasks

Cause: traces covered requests only; a task's wait, placement, start and end could not be seen. Change: the shard runner reports admit, place, start and finish hops; the daemon exports them as spans of one trace per task, whose id is a hash of job and task.

--- a/include/arbutusdale/batch/runner_model.hpp
+++ b/include/arbutusdale/batch/runner_model.hpp
@@ -115,6 +115,7 @@
 };
 
 struct Job {
+  TimePoint admitted_at{};  // when the shard first saw the job
   std::string name;
   proto::state::JobDecl decl;
   SizeModel sizes;
--- a/include/arbutusdale/batch/shard_runner.hpp
+++ b/include/arbutusdale/batch/shard_runner.hpp
@@ -2,6 +2,7 @@
 // leases, progress records, eviction and drain.
 #pragma once
 
+#include "arbutusdale/batch/task_trace.hpp"
 #include "arbutusdale/core/clock.hpp"
 #include "arbutusdale/core/resources.hpp"
 #include "arbutusdale/platform/platform.hpp"
@@ -88,6 +89,7 @@
   Duration takeover_wait = Duration{0};
   /// Wall time for `until_ms` of quarantines; without it steady time is written.
   const Clock* clock = nullptr;
+  TaskTrace* trace = nullptr;  // receives the hops of tasks
   SeededFault seeded_fault = SeededFault::none;
 };
 
--- /dev/null
+++ b/include/arbutusdale/batch/task_trace.hpp
@@ -0,0 +1,42 @@
+// Hops of a task's life for traces: admit, place, start, finish.
+#pragma once
+
+#include "arbutusdale/core/clock.hpp"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace arbutusdale::batch {
+
+enum class TaskHopKind : std::uint8_t {
+  admit,   ///< from the job's arrival at the shard to the choice of the task
+  place,   ///< choice of the worker
+  start,   ///< from the start command to the agent's answer
+  finish,  ///< from the start to the record of the attempt's end
+};
+
+std::string_view to_string(TaskHopKind kind);
+
+struct TaskHop {
+  TaskHopKind kind = TaskHopKind::admit;
+  std::string job;
+  std::uint32_t task = 0;
+  std::uint32_t attempt = 0;
+  std::string worker;
+  TimePoint begin{};
+  TimePoint end{};
+};
+
+/// Receives finished hops on the control thread; must not block.
+class TaskTrace {
+ public:
+  TaskTrace() = default;
+  TaskTrace(const TaskTrace&) = delete;
+  TaskTrace& operator=(const TaskTrace&) = delete;
+  virtual ~TaskTrace() = default;
+
+  virtual void hop(const TaskHop& hop) = 0;
+};
+
+}  // namespace arbutusdale::batch
--- a/src/arbutusdale/batch/runner_config.cpp
+++ b/src/arbutusdale/batch/runner_config.cpp
@@ -118,6 +118,8 @@
     scanned = version;
     const std::optional<JobId> id = m_jobs.declare(decl);
     if (id) {
+      Job& job = m_jobs.job(*id);
+      job.admitted_at = job.admitted_at == TimePoint{} ? m_now : job.admitted_at;
       // Team, priority or urgency may have changed.
       m_queue.remove(*id);
       refresh_queue(*id);
--- a/src/arbutusdale/batch/runner_progress.cpp
+++ b/src/arbutusdale/batch/runner_progress.cpp
@@ -284,6 +284,10 @@
     return;
   }
   attempt->phase = AttemptPhase::recorded;
+  // An attempt of an earlier term has no known start.
+  if (!attempt->inherited) {
+    trace(TaskHopKind::finish, ref, attempt->started);
+  }
   Job& job = m_jobs.job(ref.key.job);
   WaitingTask next = m_jobs.recorded(job.name, ref.key.task);
   next.attempt = std::max(next.attempt, ref.key.attempt + 1);
--- a/src/arbutusdale/batch/runner_tasks.cpp
+++ b/src/arbutusdale/batch/runner_tasks.cpp
@@ -211,10 +211,20 @@
   m_queue.started(id, m_now);
   refresh_queue(id);
   ++m_stats.started;
+  trace(TaskHopKind::admit, ref, job.admitted_at);
+  trace(TaskHopKind::place, ref, m_now);
   send_start(ref);
   return true;
 }
 
+void Runner::trace(TaskHopKind kind, const AttemptRef& ref, TimePoint begin) const {
+  if (m_options.trace == nullptr) {
+    return;
+  }
+  m_options.trace->hop({kind, m_jobs.job(ref.key.job).name, ref.key.task, ref.key.attempt,
+                        m_workers[ref.worker].info.id, begin, m_now});
+}
+
 void Runner::send_start(const AttemptRef& ref) {
   Attempt& attempt = *find_attempt(ref);
   const Job& job = m_jobs.job(ref.key.job);
@@ -258,6 +268,7 @@
     case AgentReply::OK:
       attempt->phase = AttemptPhase::running;
       attempt->reported = true;
+      trace(TaskHopKind::start, ref, attempt->started);
       return;
     case AgentReply::STALE_TOKEN:
       stale();
--- a/src/arbutusdale/control/shard_manager.cpp
+++ b/src/arbutusdale/control/shard_manager.cpp
@@ -106,6 +106,7 @@
   options.gone_after = m_context.options.gone_after;
   options.agent_fencing = m_context.options.agent_fencing;
   options.clock = &m_context.environment.clock;
+  options.trace = m_context.options.trace;
   options.seeded_fault = m_context.options.seeded_fault;
   options.seed = stable_hash(m_context.options.daemon, m_context.options.seed + term);
   options.recently_listed =
--- a/src/arbutusdale/daemon/daemon.cpp
+++ b/src/arbutusdale/daemon/daemon.cpp
@@ -15,6 +15,7 @@
 #include "control_loop.hpp"
 #include "daemon_metrics.hpp"
 #include "key_gate.hpp"
+#include "span_trace.hpp"
 #include <spdlog/spdlog.h>
 
 namespace arbutusdale::daemon {
@@ -113,6 +114,7 @@
   std::unique_ptr<Clock> m_clock = make_system_clock();
   std::unique_ptr<observe::Registry> m_registry = observe::make_registry();
   std::unique_ptr<observe::Tracer> m_tracer;
+  std::unique_ptr<SpanTrace> m_task_trace;  // null without a collector
   ControlLoop m_loop{k_tick};
   GatewaySink m_sink;
   NodeKeyGate m_keys;
@@ -137,6 +139,9 @@
   tracer.collector_url = m_settings.trace_collector;
   tracer.seed = m_clock->wall_ms();
   m_tracer = observe::make_tracer(tracer);
+  if (!m_settings.trace_collector.empty()) {
+    m_task_trace = std::make_unique<SpanTrace>(*m_tracer, *m_clock);
+  }
 }
 
 DaemonImpl::~DaemonImpl() {
@@ -159,8 +164,10 @@
     return tl::unexpected<Error>(network.error());
   }
   m_network = std::move(*network);
+  auto options = node_options(m_settings, *m_clock);
+  options.trace = m_task_trace.get();
   m_node = control::make_node(
-      node_options(m_settings, *m_clock),
+      std::move(options),
       control::NodeEnvironment{*m_log, *m_vm_list, *m_agents, *m_network, m_sink, *m_clock});
   m_keys.set_node(*m_node);
   m_admin = std::make_unique<AdminApi>(*m_node, post);
--- /dev/null
+++ b/src/arbutusdale/daemon/span_trace.cpp
@@ -0,0 +1,47 @@
+// Spans of batch tasks.
+#include "span_trace.hpp"
+
+#include "arbutusdale/core/hash.hpp"
+
+#include <fmt/format.h>
+
+namespace arbutusdale::daemon {
+namespace {
+
+constexpr std::uint64_t k_ns_per_ms = 1'000'000;
+constexpr std::uint64_t k_trace_seed = 1;
+constexpr std::uint64_t k_span_seed = 2;
+
+/// Wall time of a point on the steady time line.
+std::uint64_t wall_ns(const Clock& clock, TimePoint time) {
+  const auto ago = std::chrono::duration_cast<std::chrono::nanoseconds>(clock.now() - time);
+  return clock.wall_ms() * k_ns_per_ms - static_cast<std::uint64_t>(ago.count());
+}
+
+}  // namespace
+
+observe::TraceContext task_context(const std::string& job, std::uint32_t task) {
+  const auto name = fmt::format("{}/{}", job, task);
+  observe::TraceContext context;
+  context.trace_id =
+      fmt::format("{:016x}{:016x}", stable_hash(name), stable_hash(name, k_trace_seed));
+  context.span_id = fmt::format("{:016x}", stable_hash(name, k_span_seed));
+  return context;
+}
+
+void SpanTrace::hop(const batch::TaskHop& hop) {
+  const auto parent = task_context(hop.job, hop.task);
+  observe::Span span;
+  span.context = m_tracer.begin(parent);
+  span.parent_span_id = parent.span_id;
+  span.name = to_string(hop.kind);
+  span.start_ns = wall_ns(m_clock, hop.begin);
+  span.end_ns = wall_ns(m_clock, hop.end);
+  span.attributes = {{"job", hop.job},
+                     {"task", std::to_string(hop.task)},
+                     {"attempt", std::to_string(hop.attempt)},
+                     {"worker", hop.worker}};
+  m_tracer.end(std::move(span));
+}
+
+}  // namespace arbutusdale::daemon
