Place in rounds, and let daemons with more processor time lead

Each event that freed room compared every waiting step with every worker, and the leadership went to daemons with 0.12 of a core as often as to those with half a core.

Change: events share rounds of placement, 15 ms apart (50 ms for opportunistic tasks). A round looks at the workers once and keeps them in order by free processors and by cost for an image. The delay before a claim follows from the daemon's share of a core.

--- a/include/arbutusdale/fleet/leader_election.hpp
+++ b/include/arbutusdale/fleet/leader_election.hpp
@@ -30,7 +30,8 @@
 
 class LeaderElection {
  public:
-  explicit LeaderElection(const std::string& daemon);
+  /// `cpu_share` is the part of a core that the daemon may use.
+  LeaderElection(const std::string& daemon, double cpu_share);
 
   /// A record of a leader has arrived.
   void on_sign_of_leader(TimePoint now) { m_last_sign = now; }
@@ -44,7 +45,7 @@
   [[nodiscard]] bool should_claim(TimePoint now, const FollowerState& state) const;
 
  private:
-  Duration m_delay;  // differs between daemons, so that they seldom claim at once
+  Duration m_delay;  // differs between daemons and is shorter on those with more processor time
   std::optional<TimePoint> m_vacant_since;
   std::optional<TimePoint> m_last_sign;
 };
--- a/include/arbutusdale/fleet/node.hpp
+++ b/include/arbutusdale/fleet/node.hpp
@@ -23,6 +23,7 @@
   sched::WorkerDirectoryFactory directory;
   std::string daemon;       // at most one process of this name is alive
   std::string incarnation;  // differs between all processes that ever wrote to the store
+  double cpu_share = 1;     // part of a core that this process may use
 };
 
 class Node {
--- a/include/arbutusdale/sched/placement.hpp
+++ b/include/arbutusdale/sched/placement.hpp
@@ -12,6 +12,7 @@
 #include "arbutusdale/sched/worker_table.hpp"
 
 #include <optional>
+#include <string>
 
 namespace arbutusdale::sched {
 
@@ -26,11 +27,23 @@
   bool allows_harm = false;
 };
 
+/// True when the worker takes tasks of the service's queues at all.
+bool accepts_tasks(const Worker& worker, const std::string& service, TimePoint now);
+
+/// True when an opportunistic image may run beside the worker's serving tasks.
+bool accepts_image(const PlacementView& view, const Worker& worker, ImageId image);
+
 /// True when the worker may run the task now.
 bool is_eligible(const PlacementView& view, const Worker& worker, const Task& task);
 
-/// True when it is not known how the opportunistic task affects the worker's serving tasks.
-bool is_exploration(const PlacementView& view, const Worker& worker, const Task& task);
+/// True when it is not known how the opportunistic image affects the worker's serving tasks.
+bool is_exploration(const PlacementView& view, const Worker& worker, ImageId image);
+
+/// Cost of a worker for any opportunistic task of the image; the lowest is best.
+double image_cost(const PlacementView& view, const Worker& worker, ImageId image);
+
+/// Cost of a worker for the task, penalties included.
+double placement_cost(const PlacementView& view, const Worker& worker, const Task& task);
 
 /// Best eligible worker, or nothing.
 std::optional<WorkerSlot> choose_worker(const PlacementView& view, const Task& task);
--- /dev/null
+++ b/include/arbutusdale/sched/placement_round.hpp
@@ -0,0 +1,54 @@
+// Choice of workers for many tasks at once. Answers bursts on a large fleet: the workers are looked
+// at once a round instead of once a task, so that the cost of a start does not grow with the fleet.
+// Tasks with declared room take the best fit from an order by free processors; opportunistic tasks
+// take the cheapest worker from an order made once for each image.
+#pragma once
+
+#include "arbutusdale/sched/placement.hpp"
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+
+namespace arbutusdale::sched {
+
+class PlacementRound {
+ public:
+  /// The view and what it refers to must outlive the round.
+  explicit PlacementRound(const PlacementView& view);
+
+  /// Best eligible worker for the task, or nothing. The caller places the task there, or asks for
+  /// no task of the same step again.
+  std::optional<WorkerSlot> choose(const Task& task);
+  /// Workers looked at so far.
+  [[nodiscard]] std::uint64_t looks() const { return m_looks; }
+
+ private:
+  /// A worker by its free processors, or by its cost for one image.
+  struct Ranked {
+    double rank = 0;
+    WorkerSlot slot = 0;
+
+    // The check mistakes the comparison with zero inside for a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
+    friend auto operator<=>(const Ranked&, const Ranked&) = default;
+  };
+
+  using ServiceImage = std::pair<std::string, ImageId>;
+
+  std::optional<WorkerSlot> choose_by_fit(const Task& task);
+  std::optional<WorkerSlot> choose_by_image(const Task& task);
+  std::set<Ranked>& free_order(const std::string& service);
+  std::set<Ranked>& image_order(const Task& task);
+
+  const PlacementView& m_view;
+  std::map<std::string, std::set<Ranked>> m_free;         // by service; by free processors
+  std::map<ServiceImage, std::set<Ranked>> m_for_images;  // by cost, lowest first
+  std::uint64_t m_looks = 0;
+};
+
+}  // namespace arbutusdale::sched
--- a/include/arbutusdale/sched/scheduler.hpp
+++ b/include/arbutusdale/sched/scheduler.hpp
@@ -10,6 +10,7 @@
 #include "arbutusdale/jobs/job_table.hpp"
 #include "arbutusdale/sched/interference.hpp"
 #include "arbutusdale/sched/placement.hpp"
+#include "arbutusdale/sched/placement_round.hpp"
 #include "arbutusdale/sched/ready_queue.hpp"
 #include "arbutusdale/sched/task_table.hpp"
 #include "arbutusdale/sched/worker_directory.hpp"
@@ -75,6 +76,8 @@
   void tick();
 
   [[nodiscard]] std::size_t waiting_tasks() const { return m_ready.size(); }
+  /// Workers that placement has looked at since the start, as a measure of its cost.
+  [[nodiscard]] std::uint64_t placement_looks() const { return m_placement_looks; }
   [[nodiscard]] const WorkerTable& workers() const { return m_workers; }
   [[nodiscard]] TaskTable& tasks() { return m_tasks; }
   /// True when no effect of an end waits to be stored.
@@ -108,10 +111,11 @@
   [[nodiscard]] bool inherited_may_start() const;
 
   // Placement and orders, scheduler_orders.cpp.
+  void place_when_due();
   void place();
   void update_scarcity();
   [[nodiscard]] PlacementView placement_view() const;
-  bool place_task(Task& task);
+  bool place_task(Task& task, PlacementRound& round);
   [[nodiscard]] bool is_starved(const Task& task) const;
   bool place_starved(Task& task);
   bool place_gang(Step& step);
@@ -174,6 +178,10 @@
   bool m_may_start = true;
   bool m_may_hold = true;
   bool m_place_due = false;
+  bool m_round_scheduled = false;
+  TimePoint m_placed_at{};        // last round of placement
+  TimePoint m_batch_placed_at{};  // last round that placed opportunistic tasks
+  std::uint64_t m_placement_looks = 0;
 };
 
 }  // namespace arbutusdale::sched
--- a/src/arbutusdale/fleet/fleet_test.cpp
+++ b/src/arbutusdale/fleet/fleet_test.cpp
@@ -163,6 +163,22 @@
 
 }  // namespace
 
+// Guards against a leadership that goes to a daemon with a small share of a core while daemons with
+// much more are there.
+Test(election, daemons_with_more_processor_time_claim_first) {
+  const TimePoint now{Duration{1'000'000'000}};
+  const FollowerState fresh{true, now, 0ms};
+  for (int i = 0; i < 50; ++i) {
+    LeaderElection strong("strong" + std::to_string(i), 0.5);
+    LeaderElection weak("weak" + std::to_string(i), 0.12);
+    strong.on_vacant(now);
+    weak.on_vacant(now);
+    const TimePoint soon = now + 95ms;
+    cr_assert(strong.should_claim(soon, fresh));
+    cr_assert_not(weak.should_claim(soon, fresh));
+  }
+}
+
 // Guards against two leaders that claim at the same moment on an empty store.
 Test(node, exactly_one_daemon_leads_after_a_cold_start) {
   Cluster cluster(9);
--- a/src/arbutusdale/fleet/leader_election.cpp
+++ b/src/arbutusdale/fleet/leader_election.cpp
@@ -3,17 +3,30 @@
 
 #include "arbutusdale/core/hash.hpp"
 
+#include <algorithm>
+#include <cstdint>
+
 namespace arbutusdale::fleet {
 namespace {
 
-constexpr std::uint64_t k_max_delay_ms = 150;
+constexpr std::uint64_t k_max_jitter_ms = 60;
+// A daemon with a whole core waits this long, one with a tenth of a core ten times as long, so that
+// the leadership goes to a daemon that can carry its work.
+constexpr double k_delay_of_one_core_ms = 15;
+constexpr double k_least_cpu_share = 0.05;
 // A claim needs a view of the partition that is at most this old, reads' waits included.
 constexpr Duration k_max_view_age = std::chrono::milliseconds{1'500};
 
+Duration claim_delay(const std::string& daemon, double cpu_share) {
+  const double share = std::clamp(cpu_share, k_least_cpu_share, 1.0);
+  const auto by_share = static_cast<std::uint64_t>(k_delay_of_one_core_ms / share);
+  return std::chrono::milliseconds{by_share + stable_hash(daemon) % k_max_jitter_ms};
+}
+
 }  // namespace
 
-LeaderElection::LeaderElection(const std::string& daemon)
-    : m_delay(std::chrono::milliseconds{stable_hash(daemon) % k_max_delay_ms}) {}
+LeaderElection::LeaderElection(const std::string& daemon, double cpu_share)
+    : m_delay(claim_delay(daemon, cpu_share)) {}
 
 void LeaderElection::on_vacant(TimePoint now) {
   if (!m_vacant_since) {
--- a/src/arbutusdale/fleet/node.cpp
+++ b/src/arbutusdale/fleet/node.cpp
@@ -58,7 +58,7 @@
                         {jobs::leader_partition(), k_leader_read_wait_ms, k_leader_read_pause},
                         *m_leader_records),
       m_service(m_parts.store, m_parts.timer, m_jobs, m_job_follower, m_parts.incarnation),
-      m_election(m_parts.daemon),
+      m_election(m_parts.daemon, m_parts.cpu_share),
       m_alive(std::make_shared<bool>(true)) {}
 
 Node::~Node() {
--- a/src/arbutusdale/sched/placement.cpp
+++ b/src/arbutusdale/sched/placement.cpp
@@ -47,16 +47,7 @@
 bool has_idle_capacity(const PlacementView& view, const Worker& worker, const Task& task) {
   const auto idle = static_cast<double>(worker.idle_cpu_millis());
   const auto need = static_cast<double>(task.step->need.cpu_millis);
-  if (idle < need * k_least_idle_share || !worker.pace_control.accepts_more(view.now)) {
-    return false;
-  }
-  if (view.allows_harm) {
-    return true;
-  }
-  if (view.now - worker.explored_at < k_exploration_pause && is_exploration(view, worker, task)) {
-    return false;
-  }
-  return view.scarcity.suits(view.interference, worker, task.step->image, view.now);
+  return idle >= need * k_least_idle_share && accepts_image(view, worker, task.step->image);
 }
 
 bool has_room(const PlacementView& view, const Worker& worker, const Task& task) {
@@ -71,10 +62,44 @@
   return !step.spec->opportunistic() || has_idle_capacity(view, worker, task);
 }
 
-double cost_of(const PlacementView& view, const Worker& worker, const Task& task) {
-  const Step& step = *task.step;
+}  // namespace
+
+bool accepts_tasks(const Worker& worker, const std::string& service, TimePoint now) {
+  return worker.registered && worker.entry.state == WorkerState::ready && !worker.has_strays &&
+         now >= worker.quarantined_until && now >= worker.no_room_until &&
+         worker.is_reachable(now) && worker.entry.service == service;
+}
+
+bool accepts_image(const PlacementView& view, const Worker& worker, ImageId image) {
+  if (!worker.pace_control.accepts_more(view.now)) {
+    return false;
+  }
+  if (view.allows_harm) {
+    return true;
+  }
+  if (view.now - worker.explored_at < k_exploration_pause && is_exploration(view, worker, image)) {
+    return false;
+  }
+  return view.scarcity.suits(view.interference, worker, image, view.now);
+}
+
+bool is_exploration(const PlacementView& view, const Worker& worker, ImageId image) {
+  return std::any_of(worker.runs.begin(), worker.runs.end(), [&](const RunRef& run) {
+    const Step& step = *run.task->step;
+    return step.spec->tail_target_ms() > 0 &&
+           !view.interference.is_known(image, step.image, view.now);
+  });
+}
+
+double image_cost(const PlacementView& view, const Worker& worker, ImageId image) {
   const auto capacity =
       static_cast<double>(std::max<std::uint64_t>(worker.entry.capacity.cpu_millis, 1));
+  return k_scarcity_weight * view.scarcity.cost(image, worker.slot) -
+         static_cast<double>(worker.idle_cpu_millis()) / capacity;
+}
+
+double placement_cost(const PlacementView& view, const Worker& worker, const Task& task) {
+  const Step& step = *task.step;
   const auto& failed_on = task.failed_on;
   double cost = worker.failures_in_row * k_failure_penalty;
   if (std::find(failed_on.begin(), failed_on.end(), worker.slot) != failed_on.end()) {
@@ -84,34 +109,20 @@
     cost += k_slow_penalty;
   }
   if (step.spec->opportunistic()) {
-    cost += k_scarcity_weight * view.scarcity.cost(step.image, worker.slot);
-    return cost - static_cast<double>(worker.idle_cpu_millis()) / capacity;
+    return cost + image_cost(view, worker, step.image);
   }
   if (step.spec->tail_target_ms() > 0) {
     cost += k_other_image_penalty * static_cast<double>(other_images(worker, step));
   }
+  const auto capacity =
+      static_cast<double>(std::max<std::uint64_t>(worker.entry.capacity.cpu_millis, 1));
   const Resources left = minus(worker.entry.capacity, worker.committed);
   return cost + static_cast<double>(left.cpu_millis - step.need.cpu_millis) / capacity;
 }
 
-}  // namespace
-
-bool is_exploration(const PlacementView& view, const Worker& worker, const Task& task) {
-  return std::any_of(worker.runs.begin(), worker.runs.end(), [&](const RunRef& run) {
-    const Step& step = *run.task->step;
-    return step.spec->tail_target_ms() > 0 &&
-           !view.interference.is_known(task.step->image, step.image, view.now);
-  });
-}
-
 bool is_eligible(const PlacementView& view, const Worker& worker, const Task& task) {
   const Step& step = *task.step;
-  if (!worker.registered || worker.entry.state != WorkerState::ready ||
-      worker.entry.service != step.job->terms().service()) {
-    return false;
-  }
-  if (!worker.is_reachable(view.now) || worker.has_strays || view.now < worker.quarantined_until ||
-      view.now < worker.no_room_until) {
+  if (!accepts_tasks(worker, step.job->terms().service(), view.now)) {
     return false;
   }
   const std::string& label = step.spec->required_label();
@@ -132,7 +143,7 @@
     if (!is_eligible(view, *worker, task)) {
       continue;
     }
-    const double cost = cost_of(view, *worker, task);
+    const double cost = placement_cost(view, *worker, task);
     if (!best || cost < best_cost) {
       best = worker->slot;
       best_cost = cost;
--- /dev/null
+++ b/src/arbutusdale/sched/placement_round.cpp
@@ -0,0 +1,151 @@
+// Orders of workers, corrected as tasks are placed.
+#include "arbutusdale/sched/placement_round.hpp"
+
+#include <cstddef>
+
+namespace arbutusdale::sched {
+namespace {
+
+// Eligible workers that are compared by cost, from the best fit on.
+constexpr std::size_t k_compared_workers = 6;
+// Cost from which on a worker is avoided if another fits; see the penalties in placement.cpp.
+constexpr double k_penalized_cost = 2;
+// Workers that do not suit are passed over; after this many the task waits for the next round.
+constexpr std::size_t k_max_passed_over = 48;
+
+double free_cpu(const Worker& worker) {
+  return static_cast<double>(minus(worker.entry.capacity, worker.committed).cpu_millis);
+}
+
+/// Tasks that the orders serve; others are compared with every worker.
+bool has_simple_needs(const Step& step) {
+  return step.spec->required_label().empty() && step.spec->preferred_rack().empty() &&
+         !step.spec->same_rack() && step.spec->tail_target_ms() == 0;
+}
+
+}  // namespace
+
+PlacementRound::PlacementRound(const PlacementView& view) : m_view(view) {}
+
+std::optional<WorkerSlot> PlacementRound::choose(const Task& task) {
+  const Step& step = *task.step;
+  if (!has_simple_needs(step)) {
+    m_looks += m_view.workers.all().size();
+    return choose_worker(m_view, task);
+  }
+  return step.spec->opportunistic() ? choose_by_image(task) : choose_by_fit(task);
+}
+
+std::set<PlacementRound::Ranked>& PlacementRound::free_order(const std::string& service) {
+  const auto [found, added] = m_free.try_emplace(service);
+  std::set<Ranked>& order = found->second;
+  if (!added) {
+    return order;
+  }
+  m_looks += m_view.workers.all().size();
+  for (const auto& worker : m_view.workers.all()) {
+    if (accepts_tasks(*worker, service, m_view.now)) {
+      order.insert({free_cpu(*worker), worker->slot});
+    }
+  }
+  return order;
+}
+
+std::optional<WorkerSlot> PlacementRound::choose_by_fit(const Task& task) {
+  std::set<Ranked>& order = free_order(task.step->job->terms().service());
+  const auto need = static_cast<double>(task.step->need.cpu_millis);
+  std::optional<WorkerSlot> best;
+  double best_cost = 0;
+  std::size_t unpenalized = 0;
+  std::size_t passed_over = 0;
+  for (auto next = order.lower_bound({need, 0}); next != order.end();) {
+    const Ranked ranked = *next;
+    const Worker& worker = m_view.workers.at(ranked.slot);
+    ++m_looks;
+    if (const double rank = free_cpu(worker); rank != ranked.rank) {
+      // Tasks have been placed there since; it comes again if it still fits.
+      next = order.erase(next);
+      const auto moved = order.insert({rank, ranked.slot}).first;
+      if (rank >= need && (next == order.end() || *moved < *next)) {
+        next = moved;
+      }
+      continue;
+    }
+    ++next;
+    if (!is_eligible(m_view, worker, task)) {
+      if (++passed_over >= k_max_passed_over) {
+        break;
+      }
+      continue;
+    }
+    const double cost = placement_cost(m_view, worker, task);
+    if (!best || cost < best_cost) {
+      best = ranked.slot;
+      best_cost = cost;
+    }
+    unpenalized += cost < k_penalized_cost ? 1 : 0;
+    if (unpenalized >= k_compared_workers) {
+      break;
+    }
+  }
+  return best;
+}
+
+std::set<PlacementRound::Ranked>& PlacementRound::image_order(const Task& task) {
+  const Step& step = *task.step;
+  const auto [found, added] =
+      m_for_images.try_emplace(ServiceImage{step.job->terms().service(), step.image});
+  std::set<Ranked>& order = found->second;
+  if (!added) {
+    return order;
+  }
+  m_looks += m_view.workers.all().size();
+  for (const auto& worker : m_view.workers.all()) {
+    const bool usable = accepts_tasks(*worker, step.job->terms().service(), m_view.now) &&
+                        accepts_image(m_view, *worker, step.image);
+    if (usable) {
+      order.insert({image_cost(m_view, *worker, step.image), worker->slot});
+    }
+  }
+  return order;
+}
+
+std::optional<WorkerSlot> PlacementRound::choose_by_image(const Task& task) {
+  std::set<Ranked>& order = image_order(task);
+  std::optional<WorkerSlot> best;
+  double best_cost = 0;
+  std::size_t passed_over = 0;
+  for (auto next = order.begin(); next != order.end();) {
+    const Ranked ranked = *next;
+    const Worker& worker = m_view.workers.at(ranked.slot);
+    if (best && ranked.rank >= best_cost) {
+      break;
+    }
+    ++m_looks;
+    const double rank = image_cost(m_view, worker, task.step->image);
+    if (rank != ranked.rank) {
+      // A cost only rises within a round, as tasks are placed there, so it comes again.
+      next = order.erase(next);
+      const auto moved = order.insert({rank, ranked.slot}).first;
+      if (next == order.end() || *moved < *next) {
+        next = moved;
+      }
+      continue;
+    }
+    ++next;
+    if (!is_eligible(m_view, worker, task)) {
+      if (++passed_over >= k_max_passed_over) {
+        break;
+      }
+      continue;
+    }
+    const double cost = placement_cost(m_view, worker, task);
+    if (!best || cost < best_cost) {
+      best = ranked.slot;
+      best_cost = cost;
+    }
+  }
+  return best;
+}
+
+}  // namespace arbutusdale::sched
--- /dev/null
+++ b/src/arbutusdale/sched/scale_test.cpp
@@ -0,0 +1,89 @@
+// Replays of a large fleet under load: how much work a placement costs as workers are added.
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+#include "sched_world_test.hpp"
+#include <criterion/criterion.h>
+
+using namespace arbutusdale;
+using namespace arbutusdale::sched;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t k_worker_cpu_millis = 16'000;
+constexpr std::uint32_t k_first_batch_job = 1'000;
+constexpr std::uint32_t k_first_check_job = 5'000;
+constexpr std::uint32_t k_batch_images = 18;
+constexpr std::uint32_t k_serving_images = 10;
+
+JobBuilder serving_job(std::uint32_t number) {
+  JobBuilder job(number);
+  auto& step = job.step(14, 3'200);
+  step.set_long_running(true);
+  step.set_image("serving" + std::to_string(number % k_serving_images));
+  step.set_tail_target_ms(24);
+  return job;
+}
+
+JobBuilder batch_job(std::uint32_t number) {
+  JobBuilder job(number, 2);
+  auto& step = job.step(20, 1'800);
+  step.set_opportunistic(true);
+  step.set_image("batch" + std::to_string(number % k_batch_images));
+  step.set_checkpointing(true);
+  return job;
+}
+
+JobBuilder check_job(std::uint32_t number) {
+  JobBuilder job(number);
+  job.step(10, 2'000);
+  return job;
+}
+
+Duration work_of(const jobs::TaskId& task) {
+  const auto number = static_cast<std::uint32_t>(std::stoul(task.job.str(), nullptr, 16));
+  if (number < k_first_batch_job) {
+    return 600s;
+  }
+  return number < k_first_check_job ? Duration{2'700ms} : Duration{640ms};
+}
+
+/// Plays some seconds of load in proportion to the number of workers. Returns the number of workers
+/// looked at for each start.
+double looks_per_start(std::uint32_t workers) {
+  SchedBase base(static_cast<int>(workers), k_worker_cpu_millis);
+  base.fleet.work_of = work_of;
+  SchedWorld world(base.timer, base.fleet, base.log);
+  base.timer.advance(200ms);
+  for (std::uint32_t i = 1; i <= workers / 3; ++i) {
+    world.submit(serving_job(i));
+  }
+  base.timer.advance(2s);
+  std::uint32_t batch = k_first_batch_job;
+  std::uint32_t check = k_first_check_job;
+  const auto before = world.scheduler->placement_looks();
+  const auto starts_before = base.fleet.starts;
+  for (int tenth = 0; tenth < 60; ++tenth) {
+    for (std::uint32_t i = 0; i < workers / 100; ++i) {
+      world.submit(batch_job(batch++));
+    }
+    if (tenth % 2 == 0) {
+      world.submit(check_job(check++));
+    }
+    base.timer.advance(100ms);
+  }
+  return static_cast<double>(world.scheduler->placement_looks() - before) /
+         static_cast<double>(base.fleet.starts - starts_before);
+}
+
+}  // namespace
+
+// Guards against a leader whose processor time for each start grows with the fleet. Ten times the
+// workers may cost twice the looks at most.
+Test(scale, looks_for_each_start_grow_slower_than_the_fleet) {
+  const double small = looks_per_start(100);
+  const double large = looks_per_start(1'000);
+  cr_assert_lt(large, 2 * small, "%.0f looks a start at 1,000 workers, %.0f at 100", large, small);
+}
--- a/src/arbutusdale/sched/scheduler.cpp
+++ b/src/arbutusdale/sched/scheduler.cpp
@@ -277,9 +277,7 @@
 }
 
 void Scheduler::end_round() {
-  if (std::exchange(m_place_due, false)) {
-    place();
-  }
+  place_when_due();
   flush();
   for (auto next = m_finished.begin(); next != m_finished.end();) {
     const Job* job = m_tasks.find(*next);
--- a/src/arbutusdale/sched/scheduler_orders.cpp
+++ b/src/arbutusdale/sched/scheduler_orders.cpp
@@ -1,6 +1,6 @@
 // Placement of waiting tasks, and the orders that start, stop and pace runs.
 #include "arbutusdale/observe/event_log.hpp"
-#include "arbutusdale/sched/placement.hpp"
+#include "arbutusdale/sched/placement_round.hpp"
 #include "arbutusdale/sched/scheduler.hpp"
 
 #include <algorithm>
@@ -24,6 +24,9 @@
 constexpr Duration k_no_room_pause = std::chrono::milliseconds{300};
 // Share of the fleet's processors in declared use below which it counts as idle.
 constexpr double k_idle_fleet_share = 0.6;
+// Placement waits at most this long, which is little against the objectives of urgent jobs.
+constexpr Duration k_round_interval = std::chrono::milliseconds{15};
+constexpr Duration k_batch_round_interval = std::chrono::milliseconds{50};
 constexpr Duration k_refused_pause = std::chrono::milliseconds{200};
 // Steps for which no worker was found, after which the rest of the queue waits for the next round.
 constexpr std::size_t k_max_unplaced_steps = 64;
@@ -60,29 +63,61 @@
   return std::max(task.last_run, (m_options.term - 1) * k_runs_per_term) + 1;
 }
 
+// Events come faster than tasks need to be placed, so they share rounds.
+void Scheduler::place_when_due() {
+  if (!m_place_due) {
+    return;
+  }
+  const Duration passed = m_timer.now() - m_placed_at;
+  if (passed >= k_round_interval) {
+    m_place_due = false;
+    m_placed_at = m_timer.now();
+    place();
+    return;
+  }
+  if (std::exchange(m_round_scheduled, true)) {
+    return;
+  }
+  m_timer.call_after(k_round_interval - passed, [this, alive = m_alive] {
+    if (*alive) {
+      m_round_scheduled = false;
+      end_round();
+    }
+  });
+}
+
 void Scheduler::place() {
   if (!m_may_start) {
     return;
   }
+  const TimePoint now = m_timer.now();
   const bool inherited_allowed = inherited_may_start();
+  const bool batch_due = now - m_batch_placed_at >= k_batch_round_interval;
+  if (batch_due) {
+    m_batch_placed_at = now;
+  }
+  const PlacementView view = placement_view();
+  PlacementRound round(view);
   std::unordered_set<const Step*> unplaced;
   // Least need of an opportunistic image for which no worker was found in this round.
   std::unordered_map<ImageId, std::uint64_t> unplaced_cpu;
   m_ready.for_each([&](Task& task) {
     Step& step = *task.step;
-    const bool waits = (step.job->inherited && !inherited_allowed) ||
-                       task.not_before > m_timer.now() || unplaced.contains(&step);
+    const bool opportunistic = step.spec->opportunistic();
+    m_place_due = m_place_due || (opportunistic && !batch_due);
+    const bool waits = (step.job->inherited && !inherited_allowed) || task.not_before > now ||
+                       (opportunistic && !batch_due) || unplaced.contains(&step);
     if (waits) {
       return true;
     }
-    const bool plain_batch = step.spec->opportunistic() && step.spec->required_label().empty();
+    const bool plain_batch = opportunistic && step.spec->required_label().empty();
     const auto refused = unplaced_cpu.find(step.image);
     if (plain_batch && refused != unplaced_cpu.end() && step.need.cpu_millis >= refused->second &&
         !is_starved(task)) {
       return true;
     }
     const bool placed =
-        step.spec->gang() ? place_gang(step) : place_task(task) || place_starved(task);
+        step.spec->gang() ? place_gang(step) : place_task(task, round) || place_starved(task);
     if (!placed) {
       unplaced.insert(&step);
       if (plain_batch) {
@@ -92,6 +127,7 @@
     // Placing a gang removes several tasks from the queue, so the walk must not go on.
     return !(placed && step.spec->gang()) && unplaced.size() < k_max_unplaced_steps;
   });
+  m_placement_looks += round.looks();
 }
 
 PlacementView Scheduler::placement_view() const {
@@ -117,13 +153,14 @@
   m_scarcity.update(m_workers, m_interference, waiting, m_timer.now());
 }
 
-bool Scheduler::place_task(Task& task) {
-  const auto slot = choose_worker(placement_view(), task);
+bool Scheduler::place_task(Task& task, PlacementRound& round) {
+  const auto slot = round.choose(task);
   if (!slot) {
     return false;
   }
   Worker& worker = m_workers.at(*slot);
-  if (task.step->spec->opportunistic() && is_exploration(placement_view(), worker, task)) {
+  if (task.step->spec->opportunistic() &&
+      is_exploration(placement_view(), worker, task.step->image)) {
     worker.explored_at = m_timer.now();
   }
   order_start(task, worker, next_run_number(task));
