Ask for advice and carry tickets in starts of advised queues

Cause: jobs of queues with an advice policy were accepted and every start was refused for want of a ticket, so they never ran.

Tickets are kept for each life of a worker until shortly before they expire; workers that a call did not list are not named again for that step.

Ruled out: naming all workers in one call; the service allows 100 and takes longer for each.

--- a/include/arbutusdale/fleet/leader.hpp
+++ b/include/arbutusdale/fleet/leader.hpp
@@ -32,8 +32,8 @@
 class Leader final : private sched::ProgressLog {
  public:
   /// `on_lost` is called from within other members; the owner must not destroy the leader in it.
-  Leader(store::MetadataStore& store, sched::WorkerOrders& orders, Timer& timer,
-         const jobs::JobTable& jobs, const sched::WorkerDirectoryFactory& directory,
+  Leader(store::MetadataStore& store, sched::WorkerOrders& orders, sched::Advisor& advisor,
+         Timer& timer, const jobs::JobTable& jobs, const sched::WorkerDirectoryFactory& directory,
          LeaderTerm term, std::function<void()> on_lost);
 
   /// Learns of jobs submitted and cancelled from now on.
--- a/include/arbutusdale/fleet/node.hpp
+++ b/include/arbutusdale/fleet/node.hpp
@@ -19,6 +19,7 @@
 struct NodeParts {
   store::MetadataStore& store;
   sched::WorkerOrders& orders;
+  sched::Advisor& advisor;
   Timer& timer;
   sched::WorkerDirectoryFactory directory;
   std::string daemon;       // at most one process of this name is alive
--- a/include/arbutusdale/observe/event_log.hpp
+++ b/include/arbutusdale/observe/event_log.hpp
@@ -44,6 +44,8 @@
   run_stopping,
   run_vanished,
   pace_changed,
+  advice_received,
+  advice_missing,
   lines_dropped,
 };
 
--- a/include/arbutusdale/sched/placement.hpp
+++ b/include/arbutusdale/sched/placement.hpp
@@ -8,6 +8,7 @@
 #include "arbutusdale/core/clock.hpp"
 #include "arbutusdale/sched/interference.hpp"
 #include "arbutusdale/sched/task_table.hpp"
+#include "arbutusdale/sched/ticket_book.hpp"
 #include "arbutusdale/sched/worker_scarcity.hpp"
 #include "arbutusdale/sched/worker_table.hpp"
 
@@ -21,6 +22,7 @@
   const WorkerTable& workers;
   const InterferenceTable& interference;
   const WorkerScarcity& scarcity;
+  const TicketBook& tickets;
   TimePoint now;
   /// Opportunistic tasks may run beside serving tasks that they are believed to harm, as long as
   /// the tails are low.
@@ -33,6 +35,9 @@
 /// True when an opportunistic image may run beside the worker's serving tasks.
 bool accepts_image(const PlacementView& view, const Worker& worker, ImageId image);
 
+/// True when the worker has room for the task and suits it, with a ticket or without.
+bool can_hold(const PlacementView& view, const Worker& worker, const Task& task);
+
 /// True when the worker may run the task now.
 bool is_eligible(const PlacementView& view, const Worker& worker, const Task& task);
 
--- a/include/arbutusdale/sched/scheduler.hpp
+++ b/include/arbutusdale/sched/scheduler.hpp
@@ -8,11 +8,13 @@
 
 #include "arbutusdale/core/timer.hpp"
 #include "arbutusdale/jobs/job_table.hpp"
+#include "arbutusdale/sched/advisor.hpp"
 #include "arbutusdale/sched/interference.hpp"
 #include "arbutusdale/sched/placement.hpp"
 #include "arbutusdale/sched/placement_round.hpp"
 #include "arbutusdale/sched/ready_queue.hpp"
 #include "arbutusdale/sched/task_table.hpp"
+#include "arbutusdale/sched/ticket_book.hpp"
 #include "arbutusdale/sched/worker_directory.hpp"
 #include "arbutusdale/sched/worker_orders.hpp"
 #include "arbutusdale/sched/worker_scarcity.hpp"
@@ -49,8 +51,8 @@
 class Scheduler final : public jobs::JobListener, public WorkerListener {
  public:
   /// `on_fenced` is called when a worker has seen a higher fencing token.
-  Scheduler(WorkerOrders& orders, ProgressLog& log, Timer& timer, SchedulerOptions options,
-            std::function<void()> on_fenced);
+  Scheduler(WorkerOrders& orders, Advisor& advisor, ProgressLog& log, Timer& timer,
+            SchedulerOptions options, std::function<void()> on_fenced);
   ~Scheduler() override;
 
   /// Takes over the jobs known so far. Tasks of these start only after every worker known has
@@ -134,6 +136,13 @@
   void order_pace(Worker& worker, Task& task, Run& run);
   [[nodiscard]] std::uint32_t next_run_number(const Task& task) const;
 
+  // Advised queues, scheduler_advice.cpp.
+  void request_advice(const std::vector<Step*>& unplaced);
+  [[nodiscard]] std::vector<Addressee> workers_to_ask_for(const Step& step) const;
+  void ask(const Step& step, const std::vector<Addressee>& asked);
+  void on_advice(const StepId& step, const std::vector<Addressee>& asked, TimePoint sent,
+                 const tl::expected<Advice, AdviceError>& advice);
+
   // Looks at workers, scheduler_holds.cpp.
   void send_hold(Worker& worker);
   void schedule_hold(Worker& worker, Duration delay);
@@ -152,6 +161,7 @@
   void drop_all_runs(Worker& worker, const char* reason);
 
   WorkerOrders& m_orders;
+  Advisor& m_advisor;
   ProgressLog& m_log;
   Timer& m_timer;
   const SchedulerOptions m_options;
@@ -163,6 +173,7 @@
   ReadyQueue m_ready;
   InterferenceTable m_interference;
   WorkerScarcity m_scarcity;
+  TicketBook m_tickets;
   std::set<jobs::JobId> m_dirty;     // jobs whose progress has to be written
   std::set<jobs::JobId> m_finished;  // jobs to be removed once their end is stored
   TimePoint m_began{};
@@ -179,8 +190,9 @@
   bool m_may_hold = true;
   bool m_place_due = false;
   bool m_round_scheduled = false;
-  TimePoint m_placed_at{};        // last round of placement
-  TimePoint m_batch_placed_at{};  // last round that placed opportunistic tasks
+  bool m_advice_in_flight = false;  // the service takes one call at a time
+  TimePoint m_placed_at{};          // last round of placement
+  TimePoint m_batch_placed_at{};    // last round that placed opportunistic tasks
   std::uint64_t m_placement_looks = 0;
 };
 
--- a/src/arbutusdale/fleet/fleet_test.cpp
+++ b/src/arbutusdale/fleet/fleet_test.cpp
@@ -82,7 +82,7 @@
 
   Daemon(store::FakeStore& fake, store::FakeTimer& timer, FakeFleet& fleet, std::string name)
       : store(fake) {
-    node = std::make_unique<Node>(NodeParts{store, fleet, timer,
+    node = std::make_unique<Node>(NodeParts{store, fleet, fleet.advisor, timer,
                                             [&timer, &fleet](sched::WorkerListener& listener) {
                                               return std::make_unique<FakeDirectory>(timer, fleet,
                                                                                      listener);
--- a/src/arbutusdale/fleet/leader.cpp
+++ b/src/arbutusdale/fleet/leader.cpp
@@ -15,16 +15,17 @@
 
 }  // namespace
 
-Leader::Leader(store::MetadataStore& store, sched::WorkerOrders& orders, Timer& timer,
-               const jobs::JobTable& jobs, const sched::WorkerDirectoryFactory& directory,
-               LeaderTerm term, std::function<void()> on_lost)
+Leader::Leader(store::MetadataStore& store, sched::WorkerOrders& orders, sched::Advisor& advisor,
+               Timer& timer, const jobs::JobTable& jobs,
+               const sched::WorkerDirectoryFactory& directory, LeaderTerm term,
+               std::function<void()> on_lost)
     : m_timer(timer),
       m_term(std::move(term)),
       m_began_at(timer.now()),
       m_on_lost(std::move(on_lost)),
       m_log(store, timer, jobs::leader_partition(), k_leader_producer, m_term.fencing_token,
             m_term.claim_sequence + 1),
-      m_scheduler(orders, *this, timer, {m_term.fencing_token, m_term.term}, m_on_lost) {
+      m_scheduler(orders, advisor, *this, timer, {m_term.fencing_token, m_term.term}, m_on_lost) {
   m_scheduler.inherit(jobs);
   m_directory = directory(m_scheduler);
 }
--- a/src/arbutusdale/fleet/node.cpp
+++ b/src/arbutusdale/fleet/node.cpp
@@ -228,9 +228,9 @@
       .add("jobs", m_jobs.entries().size())
       .write();
   m_election.on_taken();
-  m_leader =
-      std::make_unique<Leader>(m_parts.store, m_parts.orders, m_parts.timer, m_jobs,
-                               m_parts.directory, std::move(term), [this] { m_lost = true; });
+  m_leader = std::make_unique<Leader>(m_parts.store, m_parts.orders, m_parts.advisor, m_parts.timer,
+                                      m_jobs, m_parts.directory, std::move(term),
+                                      [this] { m_lost = true; });
   m_jobs.set_listener(&m_leader->job_listener());
   m_job_follower.set_pause(Duration::zero());
   m_job_follower.catch_up();
--- a/src/arbutusdale/observe/event_log.cpp
+++ b/src/arbutusdale/observe/event_log.cpp
@@ -15,7 +15,7 @@
 namespace arbutusdale::observe {
 namespace {
 
-constexpr EnumNames<Event, 32> k_event_names{{
+constexpr EnumNames<Event, 34> k_event_names{{
     {Event::process_started, "process_started"},
     {Event::process_stopping, "process_stopping"},
     {Event::process_stopped, "process_stopped"},
@@ -47,6 +47,8 @@
     {Event::run_stopping, "run_stopping"},
     {Event::run_vanished, "run_vanished"},
     {Event::pace_changed, "pace_changed"},
+    {Event::advice_received, "advice_received"},
+    {Event::advice_missing, "advice_missing"},
     {Event::lines_dropped, "lines_dropped"},
 }};
 
--- a/src/arbutusdale/sched/fake_fleet_test.hpp
+++ b/src/arbutusdale/sched/fake_fleet_test.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -42,9 +43,55 @@
   bool refuses = false;    // refuses connections; what runs there runs on
 };
 
+/// Advice service that allows the workers it is told to, with tickets that expire.
+class FakeAdvisor final : public Advisor {
+ public:
+  explicit FakeAdvisor(store::FakeTimer& timer) : m_timer(timer) {}
+
+  std::set<std::string> allowed;
+  Duration valid_for = std::chrono::seconds{3};
+  Duration latency = std::chrono::milliseconds{50};
+  int failures = 0;  // so many calls fail
+  int calls = 0;
+  std::size_t most_named = 0;  // workers in one call
+
+  void advise(const StepId& step, const std::vector<std::string>& workers, Done done) override {
+    ++calls;
+    most_named = std::max(most_named, workers.size());
+    m_timer.call_after(latency, [this, step, workers, done = std::move(done)] {
+      if (failures > 0) {
+        --failures;
+        done(tl::unexpected(AdviceError{"status 429"}));
+        return;
+      }
+      Advice advice;
+      advice.valid_for = valid_for;
+      for (const std::string& worker : workers) {
+        if (allowed.contains(worker)) {
+          advice.tickets.push_back({worker, step.job.str() + "@" + worker});
+          m_valid_until[advice.tickets.back().text] = m_timer.now() + valid_for;
+        }
+      }
+      done(advice);
+    });
+  }
+
+  /// True when a start of the job's task on the worker may carry the ticket.
+  [[nodiscard]] bool accepts(const jobs::JobId& job, const std::string& worker,
+                             const std::string& ticket) const {
+    const auto found = m_valid_until.find(ticket);
+    return found != m_valid_until.end() && m_timer.now() <= found->second &&
+           ticket == job.str() + "@" + worker;
+  }
+
+ private:
+  store::FakeTimer& m_timer;
+  std::map<std::string, TimePoint> m_valid_until;  // by ticket
+};
+
 class FakeFleet final : public WorkerOrders {
  public:
-  explicit FakeFleet(store::FakeTimer& timer) : m_timer(timer) { tick(); }
+  explicit FakeFleet(store::FakeTimer& timer) : advisor(timer), m_timer(timer) { tick(); }
 
   /// Work of a task at full speed.
   std::function<Duration(const jobs::TaskId&)> work_of = [](const jobs::TaskId&) {
@@ -53,7 +100,10 @@
   /// Tail of a serving task in ms; opportunistic work beside it is given as cpu in use.
   std::function<std::uint64_t(const FakeWorker&, const FakeRun&)> gauge_of =
       [](const FakeWorker&, const FakeRun&) { return 0; };
-  std::uint64_t doubled = 0;  // times that a task began while another run of it was alive
+  FakeAdvisor advisor;
+  bool needs_tickets = false;
+  std::uint64_t bad_tickets = 0;  // starts refused for their ticket
+  std::uint64_t doubled = 0;      // times that a task began while another run of it was alive
   std::uint64_t starts = 0;
   std::map<std::string, std::uint32_t> successes;  // ends with success, by task
 
@@ -224,6 +274,10 @@
     if (order.run <= worker.blocked[name]) {
       return refuse(OrderFailure::superseded);
     }
+    if (needs_tickets && !advisor.accepts(order.task.job, worker.entry.id, order.ticket)) {
+      ++bad_tickets;
+      return refuse(OrderFailure::bad_ticket);
+    }
     for (const FakeRun& run : worker.runs) {
       if (run.task == order.task && run.number == order.run) {
         return OrderReply{clock_of(worker)};
--- a/src/arbutusdale/sched/placement.cpp
+++ b/src/arbutusdale/sched/placement.cpp
@@ -120,7 +120,7 @@
   return cost + static_cast<double>(left.cpu_millis - step.need.cpu_millis) / capacity;
 }
 
-bool is_eligible(const PlacementView& view, const Worker& worker, const Task& task) {
+bool can_hold(const PlacementView& view, const Worker& worker, const Task& task) {
   const Step& step = *task.step;
   if (!accepts_tasks(worker, step.job->terms().service(), view.now)) {
     return false;
@@ -136,6 +136,13 @@
   return is_rack_acceptable(worker, task, view.now) && has_room(view, worker, task);
 }
 
+bool is_eligible(const PlacementView& view, const Worker& worker, const Task& task) {
+  const Step& step = *task.step;
+  const bool advised = step.job->terms().advised();
+  return can_hold(view, worker, task) &&
+         (!advised || view.tickets.find(step, worker, view.now) != nullptr);
+}
+
 std::optional<WorkerSlot> choose_worker(const PlacementView& view, const Task& task) {
   std::optional<WorkerSlot> best;
   double best_cost = 0;
--- a/src/arbutusdale/sched/placement_round.cpp
+++ b/src/arbutusdale/sched/placement_round.cpp
@@ -19,8 +19,9 @@
 
 /// Tasks that the orders serve; others are compared with every worker.
 bool has_simple_needs(const Step& step) {
-  return step.spec->required_label().empty() && step.spec->preferred_rack().empty() &&
-         !step.spec->same_rack() && step.spec->tail_target_ms() == 0;
+  return !step.job->terms().advised() && step.spec->required_label().empty() &&
+         step.spec->preferred_rack().empty() && !step.spec->same_rack() &&
+         step.spec->tail_target_ms() == 0;
 }
 
 }  // namespace
--- a/src/arbutusdale/sched/sched_world_test.hpp
+++ b/src/arbutusdale/sched/sched_world_test.hpp
@@ -72,8 +72,9 @@
   SchedWorld(store::FakeTimer& timer_in, FakeFleet& fleet_in, FakeProgressLog& log_in,
              std::uint32_t term = 1, bool jobs_current = true)
       : timer(timer_in), fleet(fleet_in), log(log_in), term_log(log_in, term) {
-    scheduler = std::make_unique<Scheduler>(fleet, term_log, timer, SchedulerOptions{term, term},
-                                            [this] { fenced = true; });
+    scheduler =
+        std::make_unique<Scheduler>(fleet, fleet.advisor, term_log, timer,
+                                    SchedulerOptions{term, term}, [this] { fenced = true; });
     scheduler->inherit(log.jobs);
     for (const auto& [id, worker] : fleet.all()) {
       scheduler->on_worker(worker->entry);
--- a/src/arbutusdale/sched/scheduler.cpp
+++ b/src/arbutusdale/sched/scheduler.cpp
@@ -22,9 +22,10 @@
 
 }  // namespace
 
-Scheduler::Scheduler(WorkerOrders& orders, ProgressLog& log, Timer& timer, SchedulerOptions options,
-                     std::function<void()> on_fenced)
+Scheduler::Scheduler(WorkerOrders& orders, Advisor& advisor, ProgressLog& log, Timer& timer,
+                     SchedulerOptions options, std::function<void()> on_fenced)
     : m_orders(orders),
+      m_advisor(advisor),
       m_log(log),
       m_timer(timer),
       m_options(options),
@@ -283,6 +284,7 @@
     const Job* job = m_tasks.find(*next);
     if (job == nullptr || (job->end_stored && !job->has_runs())) {
       m_tasks.remove(*next);
+      m_tickets.forget(*next);
       next = m_finished.erase(next);
     } else {
       ++next;
--- /dev/null
+++ b/src/arbutusdale/sched/scheduler_advice.cpp
@@ -0,0 +1,114 @@
+// Tickets for steps of advised queues.
+#include "arbutusdale/observe/event_log.hpp"
+#include "arbutusdale/sched/scheduler.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace arbutusdale::sched {
+namespace {
+
+using observe::Event;
+using observe::EventLine;
+
+// A step for which no worker was found is asked for again after this time, since room may have
+// become free on other workers.
+constexpr Duration k_asking_pause = std::chrono::milliseconds{300};
+
+}  // namespace
+
+// Asks for the step that was asked for longest ago; of equals, the first in the queue's order.
+void Scheduler::request_advice(const std::vector<Step*>& unplaced) {
+  if (m_advice_in_flight) {
+    return;
+  }
+  const TimePoint now = m_timer.now();
+  Step* next = nullptr;
+  for (Step* step : unplaced) {
+    const TimePoint asked_at = m_tickets.asked_at(*step);
+    if (now - asked_at < k_asking_pause) {
+      continue;
+    }
+    if (next == nullptr || asked_at < m_tickets.asked_at(*next)) {
+      next = step;
+    }
+  }
+  if (next == nullptr) {
+    return;
+  }
+  const std::vector<Addressee> asked = workers_to_ask_for(*next);
+  m_tickets.note_call(step_id(*next), now);
+  if (!asked.empty()) {
+    ask(*next, asked);
+  }
+}
+
+// Workers with the most free room first, since it is still free when the answer comes.
+std::vector<Addressee> Scheduler::workers_to_ask_for(const Step& step) const {
+  const auto waiting = std::find_if(step.tasks.begin(), step.tasks.end(), [](const Task& task) {
+    return task.phase == TaskPhase::waiting;
+  });
+  if (waiting == step.tasks.end()) {
+    return {};
+  }
+  const PlacementView view = placement_view();
+  std::vector<std::pair<double, const Worker*>> ranked;
+  for (const auto& worker : m_workers.all()) {
+    const bool useful =
+        m_tickets.is_worth_asking(step, *worker, view.now) && can_hold(view, *worker, *waiting);
+    if (useful) {
+      const Resources free = minus(worker->entry.capacity, worker->committed);
+      ranked.emplace_back(-static_cast<double>(free.cpu_millis), worker.get());
+    }
+  }
+  const std::size_t count = std::min(ranked.size(), k_advised_workers);
+  const auto middle = ranked.begin() + static_cast<std::ptrdiff_t>(count);
+  std::partial_sort(ranked.begin(), middle, ranked.end());
+  std::vector<Addressee> asked;
+  asked.reserve(count);
+  for (std::size_t i = 0; i < count; ++i) {
+    asked.push_back(ranked[i].second->addressee());
+  }
+  return asked;
+}
+
+void Scheduler::ask(const Step& step, const std::vector<Addressee>& asked) {
+  std::vector<std::string> ids;
+  ids.reserve(asked.size());
+  for (const Addressee& worker : asked) {
+    ids.push_back(worker.id);
+  }
+  m_advice_in_flight = true;
+  const StepId id = step_id(step);
+  const TimePoint sent = m_timer.now();
+  m_advisor.advise(
+      id, ids,
+      [this, alive = m_alive, id, asked, sent](const tl::expected<Advice, AdviceError>& advice) {
+        if (!*alive) {
+          return;
+        }
+        m_advice_in_flight = false;
+        on_advice(id, asked, sent, advice);
+        end_round();
+      });
+}
+
+void Scheduler::on_advice(const StepId& step, const std::vector<Addressee>& asked, TimePoint sent,
+                          const tl::expected<Advice, AdviceError>& advice) {
+  EventLine line(advice ? Event::advice_received : Event::advice_missing);
+  line.add("job", step.job.view())
+      .add("step", step.step)
+      .add("asked", asked.size())
+      .add_ms("took_ms", m_timer.now() - sent);
+  if (!advice) {
+    line.add("error", advice.error().message).write();
+    return;  // the next round of placement asks again
+  }
+  line.add("eligible", advice->tickets.size()).add_ms("valid_ms", advice->valid_for).write();
+  if (m_tasks.find(step.job) != nullptr) {
+    m_tickets.note_answer(step, asked, *advice, m_timer.now());
+    m_place_due = true;
+  }
+}
+
+}  // namespace arbutusdale::sched
--- a/src/arbutusdale/sched/scheduler_orders.cpp
+++ b/src/arbutusdale/sched/scheduler_orders.cpp
@@ -99,6 +99,7 @@
   const PlacementView view = placement_view();
   PlacementRound round(view);
   std::unordered_set<const Step*> unplaced;
+  std::vector<Step*> unadvised;  // unplaced ones of advised queues, in the queue's order
   // Least need of an opportunistic image for which no worker was found in this round.
   std::unordered_map<ImageId, std::uint64_t> unplaced_cpu;
   m_ready.for_each([&](Task& task) {
@@ -110,7 +111,8 @@
     if (waits) {
       return true;
     }
-    const bool plain_batch = opportunistic && step.spec->required_label().empty();
+    const bool plain_batch =
+        opportunistic && step.spec->required_label().empty() && !step.job->terms().advised();
     const auto refused = unplaced_cpu.find(step.image);
     if (plain_batch && refused != unplaced_cpu.end() && step.need.cpu_millis >= refused->second &&
         !is_starved(task)) {
@@ -120,6 +122,9 @@
         step.spec->gang() ? place_gang(step) : place_task(task, round) || place_starved(task);
     if (!placed) {
       unplaced.insert(&step);
+      if (step.job->terms().advised()) {
+        unadvised.push_back(&step);
+      }
       if (plain_batch) {
         unplaced_cpu[step.image] = step.need.cpu_millis;
       }
@@ -128,10 +133,11 @@
     return !(placed && step.spec->gang()) && unplaced.size() < k_max_unplaced_steps;
   });
   m_placement_looks += round.looks();
+  request_advice(unadvised);
 }
 
 PlacementView Scheduler::placement_view() const {
-  return {m_workers, m_interference, m_scarcity, m_timer.now()};
+  return {m_workers, m_interference, m_scarcity, m_tickets, m_timer.now()};
 }
 
 void Scheduler::update_scarcity() {
@@ -262,6 +268,9 @@
   order.lease_until_ms = worker.lease.until(m_timer.now(), k_start_lease).value_or(0);
   order.fencing_token = m_options.fencing_token;
   order.checkpoint = task.checkpoint;
+  if (const std::string* ticket = m_tickets.find(*task.step, worker, m_timer.now())) {
+    order.ticket = *ticket;
+  }
   const Addressee addressee = worker.addressee();
   m_orders.start(addressee, order,
                  [this, alive = m_alive, id = order.task, number = run.number,
@@ -346,8 +355,10 @@
       worker.note_failure(m_timer.now());
       worker.no_room_until = m_timer.now() + k_no_room_pause;
       break;
-    case OrderFailure::invalid:
     case OrderFailure::bad_ticket:
+      m_tickets.drop(*task.step, worker);
+      break;
+    case OrderFailure::invalid:
       task.not_before = m_timer.now() + k_refused_pause;
       break;
     case OrderFailure::other_incarnation:
