Leave a tenth of the workers without serving tasks

Change: once only a tenth of the workers are without serving tasks, a serving task goes beside another image rather than to one of these.

--- a/src/arbutusdale/sched/placement.cpp
+++ b/src/arbutusdale/sched/placement.cpp
@@ -12,6 +12,10 @@
 constexpr double k_failure_penalty = 2;
 constexpr double k_slow_penalty = 4;
 constexpr double k_other_image_penalty = 1;
+// Share of the workers that serving tasks leave to opportunistic ones as long as there is room
+// elsewhere, also beside other images.
+constexpr double k_unmixed_reserve = 0.1;
+constexpr double k_reserve_penalty = 2.5;
 constexpr double k_scarcity_weight = 2;
 // An opportunistic task starts where at least this share of its processors is idle.
 constexpr double k_least_idle_share = 0.8;
@@ -44,6 +48,24 @@
   return images.size();
 }
 
+bool serves(const Worker& worker) {
+  return worker.serving_cpu_millis > 0;
+}
+
+/// True when few workers are left without serving tasks.
+bool is_reserve_reached(const PlacementView& view) {
+  std::size_t workers = 0;
+  std::size_t free = 0;
+  for (const auto& worker : view.workers.all()) {
+    if (!worker->registered || worker->entry.state != WorkerState::ready) {
+      continue;
+    }
+    ++workers;
+    free += serves(*worker) ? 0 : 1;
+  }
+  return static_cast<double>(free) <= static_cast<double>(workers) * k_unmixed_reserve;
+}
+
 bool has_idle_capacity(const PlacementView& view, const Worker& worker, const Task& task) {
   const auto idle = static_cast<double>(worker.idle_cpu_millis());
   const auto need = static_cast<double>(task.step->need.cpu_millis);
@@ -146,11 +168,15 @@
 std::optional<WorkerSlot> choose_worker(const PlacementView& view, const Task& task) {
   std::optional<WorkerSlot> best;
   double best_cost = 0;
+  const bool keeps_reserve = task.step->spec->tail_target_ms() > 0 && is_reserve_reached(view);
   for (const auto& worker : view.workers.all()) {
     if (!is_eligible(view, *worker, task)) {
       continue;
     }
-    const double cost = placement_cost(view, *worker, task);
+    double cost = placement_cost(view, *worker, task);
+    if (keeps_reserve && !serves(*worker)) {
+      cost += k_reserve_penalty;
+    }
     if (!best || cost < best_cost) {
       best = worker->slot;
       best_cost = cost;
