Begin jobs only while they can be in time with a margin

Cause: when more batch work of an image comes than there are workers that suit it, the queue's order by due times begins every job when it can only just be in time by an estimate that is off by up to 0.9, and then it is late.

Change: a job that has not begun counts as late once less than 1.35 times its estimated remaining time is left.

--- a/src/arbutusdale/sched/load_test.cpp
+++ b/src/arbutusdale/sched/load_test.cpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "sched_world_test.hpp"
 #include <criterion/criterion.h>
@@ -299,3 +300,39 @@
   }
   cr_assert_eq(completed, 1U);
 }
+
+// Guards against a backlog in which every batch job is begun when it can only just be in time, and
+// then is late. Twice as many jobs come as can be done, and each takes a quarter longer than it
+// says; most of what can be done has to be in time.
+Test(load, jobs_that_could_only_just_be_in_time_leave_their_workers_to_others) {
+  SchedBase base(1, 16'000);
+  base.fleet.work_of = [](const jobs::TaskId&) { return 1'250ms; };
+  SchedWorld world(base.timer, base.fleet, base.log);
+  base.timer.advance(200ms);
+  constexpr Duration k_objective = 5s;  // four times the estimate and a second
+  constexpr std::uint32_t k_jobs = 50;
+  std::uint32_t in_time = 0;
+  std::vector<TimePoint> submitted;
+  std::vector<bool> seen(k_jobs, false);
+  for (std::uint32_t i = 0; i < k_jobs; ++i) {
+    JobBuilder job(1'000 + i, 2);
+    auto& step = job.step(2, 8'000);
+    step.set_opportunistic(true);
+    step.set_image("batch");
+    job.record.mutable_terms()->set_stretch(4);
+    world.submit(job);
+    submitted.push_back(base.timer.now());
+    for (int part = 0; part < 12; ++part) {
+      base.timer.advance(50ms);
+      for (std::uint32_t j = 0; j <= i; ++j) {
+        if (seen[j] || world.state(1'000 + j) != JobState::COMPLETED) {
+          continue;
+        }
+        seen[j] = true;
+        in_time += base.timer.now() - submitted[j] <= k_objective ? 1 : 0;
+      }
+    }
+  }
+  // 30 s hold 24 jobs.
+  cr_assert_geq(in_time, 18U, "%u jobs in time", in_time);
+}
--- a/src/arbutusdale/sched/ready_queue.cpp
+++ b/src/arbutusdale/sched/ready_queue.cpp
@@ -9,6 +9,9 @@
 
 // A job that takes longer than this multiple of its objective is worth nothing to its caller.
 constexpr int k_worthless_factor = 3;
+// A job that has not begun and could only just be in time mostly is late, since estimates are
+// rough; its workers are better used for one with more time left.
+constexpr double k_fresh_margin = 0.35;  // of the estimated remaining time
 
 bool is_fresh(const Step& step) {
   return step.spec->opportunistic() && step.job->state == proto::jobs::JobState::QUEUED;
@@ -18,8 +21,12 @@
 
 Lateness lateness_of(const Step& step, TimePoint now) {
   const Job& job = *step.job;
-  const TimePoint end = now + std::chrono::milliseconds{step.remaining_ms};
-  if (end <= job.due) {
+  const Duration remaining = std::chrono::milliseconds{step.remaining_ms};
+  const TimePoint end = now + remaining;
+  const auto margin = is_fresh(step)
+                          ? std::chrono::duration_cast<Duration>(remaining * k_fresh_margin)
+                          : Duration::zero();
+  if (end + margin <= job.due) {
     return Lateness::in_time;
   }
   const TimePoint last = job.due + (k_worthless_factor - 1) * job.objective;
