Place opportunistic tasks beside tails of up to 85% of the target

Cause: samples of tails without any opportunistic work beside them reach 55% of the target in a quarter of the looks and 83% in one of twenty, by the serving tasks' own load. With four to six serving tasks a worker the highest is over 70% often, and such workers were closed to images that are known to be harmless.

--- a/src/arbutusdale/sched/pace_control.cpp
+++ b/src/arbutusdale/sched/pace_control.cpp
@@ -12,7 +12,7 @@
 constexpr double k_raised_ratio = 0.4;
 constexpr double k_high_ratio = 0.55;
 constexpr double k_over_ratio = 1.0;
-constexpr double k_accept_ratio = 0.7;
+constexpr double k_accept_ratio = 0.85;
 // Runs with at least this part of the worst run's blame stop with it.
 constexpr double k_blame_part = 0.4;
 // A run that hardly uses anything yet may still be the culprit.
