Let serving images that the same work disturbs share workers

A regression of the tails shows two clusters: one set of images disturbs two of the five serving images, another set two others.

Change: the cost of a serving task beside another image follows from how many opportunistic images disturb one of them but not the other, as far as known.

--- a/include/arbutusdale/sched/interference.hpp
+++ b/include/arbutusdale/sched/interference.hpp
@@ -42,6 +42,9 @@
   [[nodiscard]] double harm(ImageId batch, ImageId serving, TimePoint now) const;
   /// False while too little has been seen of the pair.
   [[nodiscard]] bool is_known(ImageId batch, ImageId serving, TimePoint now) const;
+  /// Images of which there is evidence, in rising order.
+  [[nodiscard]] std::vector<ImageId> batch_images() const;
+  [[nodiscard]] std::vector<ImageId> serving_images() const;
   /// All evidence, for a successor, and its return.
   [[nodiscard]] proto::jobs::InterferenceEvidence save(TimePoint now) const;
   void restore(const proto::jobs::InterferenceEvidence& evidence, TimePoint now);
--- a/include/arbutusdale/sched/placement.hpp
+++ b/include/arbutusdale/sched/placement.hpp
@@ -7,6 +7,7 @@
 
 #include "arbutusdale/core/clock.hpp"
 #include "arbutusdale/sched/interference.hpp"
+#include "arbutusdale/sched/serving_affinity.hpp"
 #include "arbutusdale/sched/task_table.hpp"
 #include "arbutusdale/sched/ticket_book.hpp"
 #include "arbutusdale/sched/worker_scarcity.hpp"
@@ -22,6 +23,7 @@
   const WorkerTable& workers;
   const InterferenceTable& interference;
   const WorkerScarcity& scarcity;
+  const ServingAffinity& affinity;
   const TicketBook& tickets;
   TimePoint now;
   /// Opportunistic tasks may run beside serving tasks that they are believed to harm, as long as
--- a/include/arbutusdale/sched/scheduler.hpp
+++ b/include/arbutusdale/sched/scheduler.hpp
@@ -13,6 +13,7 @@
 #include "arbutusdale/sched/placement.hpp"
 #include "arbutusdale/sched/placement_round.hpp"
 #include "arbutusdale/sched/ready_queue.hpp"
+#include "arbutusdale/sched/serving_affinity.hpp"
 #include "arbutusdale/sched/task_table.hpp"
 #include "arbutusdale/sched/ticket_book.hpp"
 #include "arbutusdale/sched/worker_directory.hpp"
@@ -174,6 +175,7 @@
   ReadyQueue m_ready;
   InterferenceTable m_interference;
   WorkerScarcity m_scarcity;
+  ServingAffinity m_affinity;
   TicketBook m_tickets;
   std::set<jobs::JobId> m_dirty;     // jobs whose progress has to be written
   std::set<jobs::JobId> m_finished;  // jobs to be removed once their end is stored
--- a/src/arbutusdale/sched/interference.cpp
+++ b/src/arbutusdale/sched/interference.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 namespace arbutusdale::sched {
 namespace {
@@ -109,6 +110,22 @@
   return evidence.harmful + evidence.harmless >= k_known_evidence;
 }
 
+std::vector<ImageId> InterferenceTable::batch_images() const {
+  std::set<ImageId> images;
+  for (const auto& [pair, evidence] : m_pairs) {
+    images.insert(pair.first);
+  }
+  return {images.begin(), images.end()};
+}
+
+std::vector<ImageId> InterferenceTable::serving_images() const {
+  std::set<ImageId> images;
+  for (const auto& [pair, evidence] : m_pairs) {
+    images.insert(pair.second);
+  }
+  return {images.begin(), images.end()};
+}
+
 proto::jobs::InterferenceEvidence InterferenceTable::save(TimePoint now) const {
   proto::jobs::InterferenceEvidence record;
   for (const auto& [images, evidence] : m_pairs) {
--- a/src/arbutusdale/sched/placement.cpp
+++ b/src/arbutusdale/sched/placement.cpp
@@ -35,17 +35,19 @@
   return now - task.ready_at >= patience;
 }
 
-/// Number of other images among the worker's serving tasks.
-std::size_t other_images(const Worker& worker, const Step& step) {
+/// Cost of a serving task beside the worker's serving tasks of other images.
+double mixing_cost(const PlacementView& view, const Worker& worker, const Step& step) {
   std::vector<ImageId> images;
+  double cost = 0;
   for (const RunRef& run : worker.runs) {
     const Step& other = *run.task->step;
     const bool counts = other.spec->tail_target_ms() > 0 && other.image != step.image;
     if (counts && std::find(images.begin(), images.end(), other.image) == images.end()) {
       images.push_back(other.image);
+      cost += view.affinity.mixing_cost(step.image, other.image);
     }
   }
-  return images.size();
+  return cost;
 }
 
 bool serves(const Worker& worker) {
@@ -134,7 +136,7 @@
     return cost + image_cost(view, worker, step.image);
   }
   if (step.spec->tail_target_ms() > 0) {
-    cost += k_other_image_penalty * static_cast<double>(other_images(worker, step));
+    cost += k_other_image_penalty * mixing_cost(view, worker, step);
   }
   const auto capacity =
       static_cast<double>(std::max<std::uint64_t>(worker.entry.capacity.cpu_millis, 1));
--- a/src/arbutusdale/sched/scheduler.cpp
+++ b/src/arbutusdale/sched/scheduler.cpp
@@ -41,6 +41,7 @@
   m_has_inherited = m_options.term > 1;
   m_jobs_current = !m_has_inherited;
   m_interference.restore(jobs.interference(), m_timer.now());
+  m_affinity.update(m_interference, m_timer.now());
   for (const auto& held : jobs.roster().workers()) {
     Worker& worker = m_workers.get(held.worker());
     worker.entry.id = held.worker();
@@ -442,6 +443,7 @@
   if (m_timer.now() - m_evidence_saved_at >= k_evidence_interval) {
     m_evidence_saved_at = m_timer.now();
     m_evidence_due = true;
+    m_affinity.update(m_interference, m_timer.now());
   }
   m_ready.refresh(m_timer.now());
   update_scarcity();
--- a/src/arbutusdale/sched/scheduler_orders.cpp
+++ b/src/arbutusdale/sched/scheduler_orders.cpp
@@ -144,7 +144,7 @@
 }
 
 PlacementView Scheduler::placement_view() const {
-  return {m_workers, m_interference, m_scarcity, m_tickets, m_timer.now()};
+  return {m_workers, m_interference, m_scarcity, m_affinity, m_tickets, m_timer.now()};
 }
 
 void Scheduler::update_scarcity() {
