--- a/src/arbutusdale/sched/decisions_test.cpp
+++ b/src/arbutusdale/sched/decisions_test.cpp
@@ -2,6 +2,7 @@
 // order of waiting tasks.
 #include "arbutusdale/sched/interference.hpp"
 #include "arbutusdale/sched/pace_control.hpp"
+#include "arbutusdale/sched/serving_affinity.hpp"
 #include "arbutusdale/sched/straggler.hpp"
 #include "arbutusdale/sched/worker_lease.hpp"
 
@@ -166,3 +167,29 @@
   cr_assert_not(is_stuck({3s, 500ms, 40, 800ms}));
   cr_assert_not(is_stuck({60s, 5s, 10, 600s}));
 }
+
+// Guards against serving images with different enemies that are taken to go well together, and
+// against images with the same ones that are kept apart.
+Test(affinity, images_that_the_same_work_disturbs_go_together) {
+  constexpr ImageId k_like = 4;
+  constexpr ImageId k_unlike = 5;
+  constexpr ImageId k_unseen = 6;
+  InterferenceTable table;
+  TimePoint now = k_start;
+  for (int i = 0; i < 20; ++i) {
+    now += 500ms;
+    for (const ImageId harmed : {k_serving, k_like}) {
+      table.observe({{harmed, 3.0}}, {{k_culprit, 0.1}}, now);
+      table.observe({{harmed, 0.3}}, {{k_bystander, 0.1}}, now);
+    }
+    table.observe({{k_unlike, 0.3}}, {{k_culprit, 0.1}}, now);
+    table.observe({{k_unlike, 3.0}}, {{k_bystander, 0.1}}, now);
+  }
+  ServingAffinity affinity;
+  cr_assert_eq(affinity.mixing_cost(k_serving, k_like), 1.0);
+  affinity.update(table, now);
+  cr_assert_eq(affinity.mixing_cost(k_serving, k_serving), 0.0);
+  cr_assert_lt(affinity.mixing_cost(k_serving, k_like), 0.1);
+  cr_assert_gt(affinity.mixing_cost(k_unlike, k_like), 1.5);
+  cr_assert_eq(affinity.mixing_cost(k_serving, k_unseen), 1.0);
+}
--- a/src/arbutusdale/sched/load_test.cpp
+++ b/src/arbutusdale/sched/load_test.cpp
@@ -336,3 +336,22 @@
   // 30 s hold 24 jobs.
   cr_assert_geq(in_time, 18U, "%u jobs in time", in_time);
 }
+
+// Guards against serving tasks that take the last free workers although there is room beside
+// others: opportunistic images that disturb them would find no worker.
+Test(load, serving_tasks_leave_some_workers_free) {
+  SchedBase base(20, k_worker_cpu_millis);
+  base.fleet.work_of = work_of;
+  SchedWorld world(base.timer, base.fleet, base.log);
+  base.timer.advance(200ms);
+  // 20 images, 66 of 100 slots.
+  for (std::uint32_t i = 1; i <= 22; ++i) {
+    world.submit(serving_job(i, 3, "image" + std::to_string(i % 20)));
+  }
+  base.timer.advance(2s);
+  cr_assert_eq(base.fleet.running(), 66U);
+  const auto& workers = base.fleet.all();
+  const auto free = std::count_if(workers.begin(), workers.end(),
+                                  [](const auto& entry) { return entry.second->runs.empty(); });
+  cr_assert_geq(free, 2);
+}
