Tell the story of one job from the daemons' logs

Cause: engineers on call had to sort and read the logs of all daemons by hand, and could not see what the logs lack.

Change: arbutusctl story JOB [FILE...] prints the lines of one job over daemons and restarts in the order of time, with the changes of leadership in between, as text or JSON, and names what is missing: an acceptance, an end, the end of a run, dropped lines. Exit status 1 without any line.

Ruled out: a server-side query; the platform keeps nothing on the machines.

--- a/src/arbutusdale/cli/arbutusctl_main.cpp
+++ b/src/arbutusdale/cli/arbutusctl_main.cpp
@@ -12,7 +12,11 @@
 
 namespace {
 
+/// "-" is the standard input.
 std::optional<std::string> read_file(const std::string& name) {
+  if (name == "-") {
+    return std::string{std::istreambuf_iterator<char>(std::cin), std::istreambuf_iterator<char>()};
+  }
   std::ifstream file(name, std::ios::binary);
   if (!file) {
     return std::nullopt;
--- a/src/arbutusdale/cli/commands.cpp
+++ b/src/arbutusdale/cli/commands.cpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "render.hpp"
+#include "story.hpp"
 #include <fmt/format.h>
 #include <fmt/ostream.h>
 #include <google/protobuf/util/json_util.h>
@@ -16,6 +17,7 @@
 namespace {
 
 constexpr long k_first_failure_status = 400;
+constexpr const char* k_standard_input = "-";
 
 class Command {
  public:
@@ -30,6 +32,7 @@
   Exit decide(const std::string& id, const std::string& decision);
   Exit show(const std::string& path, std::string (*render)(const Json&));
   Exit validate();
+  Exit story();
   Exit completion();
   Exit keygen();
 
@@ -84,6 +87,9 @@
   if (verb == "validate") {
     return validate();
   }
+  if (verb == "story") {
+    return story();
+  }
   if (verb == "completion") {
     return completion();
   }
@@ -197,6 +203,30 @@
   return Exit::ok;
 }
 
+Exit Command::story() {
+  const auto& words = m_options.arguments;
+  std::vector<std::string> files(words.begin() + 1, words.end());
+  if (files.empty()) {
+    files.emplace_back(k_standard_input);
+  }
+  std::vector<std::string> logs;
+  for (const std::string& file : files) {
+    auto text = m_env.read_file(file);
+    if (!text) {
+      fmt::print(m_env.err, "arbutusctl: {}: the file cannot be read\n", file);
+      return Exit::failed;
+    }
+    logs.push_back(std::move(*text));
+  }
+  const Story story = make_story(words.front(), logs);
+  if (m_options.json) {
+    print_json(story_json(story));
+  } else {
+    m_env.out << render_story(story);
+  }
+  return story.lines.empty() ? Exit::failed : Exit::ok;
+}
+
 Exit Command::completion() {
   if (m_options.arguments[0] != "bash") {
     fmt::print(m_env.err, "arbutusctl: no completion for '{}'; expected bash\n",
--- a/src/arbutusdale/cli/options.cpp
+++ b/src/arbutusdale/cli/options.cpp
@@ -151,7 +151,7 @@
 
 Result<void> check_server(const Options& options) {
   const bool is_local = options.help || options.verb == "validate" || options.verb == "keygen" ||
-                        options.verb == "completion";
+                        options.verb == "completion" || options.verb == "story";
   if (is_local) {
     return {};
   }
@@ -210,6 +210,9 @@
       {"record", "", 0, 0, "Prints the newest plans with their decisions and outcomes."},
       {"drain", "VM", 1, 1, "Makes a plan that drains a VM."},
       {"cancel", "JOB", 1, 1, "Makes a plan that cancels a job."},
+      {"story", "JOB [FILE...]", 1, k_max_arguments,
+       "Prints what the logs of arbutusdale-entry say of one job; without files, from standard "
+       "input."},
       {"validate", "FILE...", 1, k_max_arguments, "Checks declaration files without a server."},
       {"keygen", "", 0, 0, "Prints a new CURVE key pair for the daemons of a fleet."},
       {"completion", "bash", 1, 1, "Prints the completion script of a shell."},
@@ -302,7 +305,7 @@
     "") words="{} --help" ;;
 {}  esac
   case "$verb:$current" in
-    plan:[!-]*|plan:|validate:[!-]*|validate:) COMPREPLY=($(compgen -f -- "$current")) ;;
+    plan:[!-]*|plan:|story:[!-]*|story:|validate:[!-]*|validate:) COMPREPLY=($(compgen -f -- "$current")) ;;
     *) COMPREPLY=($(compgen -W "$words" -- "$current")) ;;
   esac
 }}
