Keep adopted runs until the earlier leader's leases have ended

The lease that it had granted itself was none, so the runs just adopted counted as lapsed: 17 workers within a second, silent for 0 to 20 ms. They were taken up again by the next look, and the inherited jobs waited for that.

Serving tasks stay first, since one that waits while there is room for two counts as lost.

Figures: the test loses all six adopted runs without the change.

--- a/include/arbutusdale/fleet/job_service.hpp
+++ b/include/arbutusdale/fleet/job_service.hpp
@@ -39,7 +39,7 @@
   void cancel(const jobs::JobId& id, TimePoint deadline, Done done);
 
   /// Drops the records of jobs that ended long ago.
-  void forget(const std::vector<jobs::JobId>& jobs, TimePoint deadline, Done done);
+  void forget(const std::vector<jobs::JobId>& jobs, TimePoint deadline, const Done& done);
 
   /// True while this daemon reads and writes the store without long delays.
   [[nodiscard]] bool is_available() const;
--- a/include/arbutusdale/sched/scheduler.hpp
+++ b/include/arbutusdale/sched/scheduler.hpp
@@ -112,6 +112,8 @@
   [[nodiscard]] bool is_held(const Worker& worker) const;
   void leave_draining(Worker& worker);
   [[nodiscard]] bool inherited_may_start() const;
+  /// By then all leases of an earlier leader have ended.
+  [[nodiscard]] TimePoint inherited_leases_end() const;
 
   // Placement and orders, scheduler_orders.cpp.
   void place_when_due();
@@ -159,6 +161,8 @@
   void drop_run(Task& task, std::uint32_t number);
   void move_stragglers(Worker& worker);
   void update_usual_speed();
+  /// Time after which nothing of what we know runs on the worker any more.
+  [[nodiscard]] TimePoint leases_end(const Worker& worker) const;
   void check_lease(Worker& worker);
   void drop_all_runs(Worker& worker, const char* reason);
 
--- a/src/arbutusdale/fleet/job_service.cpp
+++ b/src/arbutusdale/fleet/job_service.cpp
@@ -53,7 +53,8 @@
 
 // The records may lie in any partition, and a removal that is missing leaves a job that is known
 // again after a restart, so all of them have to be stored.
-void JobService::forget(const std::vector<jobs::JobId>& jobs, TimePoint deadline, Done done) {
+void JobService::forget(const std::vector<jobs::JobId>& jobs, TimePoint deadline,
+                        const Done& done) {
   std::vector<store::KeyedValue> entries;
   for (const jobs::JobId& job : jobs) {
     for (store::KeyedValue& entry : jobs::encode_submission_removal(job)) {
--- a/src/arbutusdale/sched/scheduler.cpp
+++ b/src/arbutusdale/sched/scheduler.cpp
@@ -293,8 +293,12 @@
   }
 }
 
+TimePoint Scheduler::inherited_leases_end() const {
+  return m_began + k_inherited_wait;
+}
+
 bool Scheduler::inherited_may_start() const {
-  if (!m_has_inherited || m_timer.now() - m_began > k_inherited_wait) {
+  if (!m_has_inherited || m_timer.now() > inherited_leases_end()) {
     return true;
   }
   const auto& workers = m_workers.all();
--- a/src/arbutusdale/sched/scheduler_holds.cpp
+++ b/src/arbutusdale/sched/scheduler_holds.cpp
@@ -17,6 +17,8 @@
 
 constexpr std::uint32_t k_hold_wait_ms = 700;
 constexpr std::uint32_t k_watch_wait_ms = 350;
+// The next look after the first extends the lease.
+constexpr Duration k_first_extension = std::chrono::milliseconds{1'500};
 constexpr Duration k_hold_pause = std::chrono::milliseconds{40};
 constexpr Duration k_hold_retry = std::chrono::milliseconds{150};
 // Ends that are not acknowledged make the next answer immediate, so it is asked for later.
@@ -396,14 +398,23 @@
   }
 }
 
+TimePoint Scheduler::leases_end(const Worker& worker) const {
+  if (!worker.lease.knows_clock()) {
+    return worker.last_answer + k_late_order_bound;
+  }
+  if (worker.lease.lapses_at() != TimePoint{}) {
+    return worker.lease.lapses_at();
+  }
+  // We have adopted its runs and not extended their leases yet.
+  return std::max(inherited_leases_end(), worker.last_answer + k_first_extension);
+}
+
 void Scheduler::check_lease(Worker& worker) {
   const TimePoint now = m_timer.now();
   if (worker.runs.empty()) {
     return;
   }
-  const bool lapsed = worker.lease.knows_clock() ? now > worker.lease.lapses_at()
-                                                 : now - worker.last_answer > k_late_order_bound;
-  if (!lapsed) {
+  if (now <= leases_end(worker)) {
     return;
   }
   drop_all_runs(worker, "its leases have run out");
--- a/src/arbutusdale/sched/scheduler_test.cpp
+++ b/src/arbutusdale/sched/scheduler_test.cpp
@@ -11,6 +11,31 @@
 using namespace std::chrono_literals;
 using proto::jobs::JobState;
 
+// Guards against a new leader that takes the runs which it has just adopted for lapsed, because it
+// has not extended their leases yet.
+Test(scheduler, adopted_runs_live_until_the_earlier_leases_can_have_ended) {
+  SchedBase base(3);
+  base.fleet.work_of = [](const jobs::TaskId&) { return 60s; };
+  SchedWorld first(base.timer, base.fleet, base.log);
+  base.timer.advance(200ms);
+  JobBuilder job(1);
+  job.step(6, 1'000);
+  first.submit(job);
+  base.timer.advance(1s);
+  first.frozen = true;
+  SchedWorld second(base.timer, base.fleet, base.log, 2);
+  base.timer.advance(1ms);
+  // The first looks are under way; no lease is extended after them.
+  second.scheduler->set_confirmed(true, false);
+  base.timer.advance(500ms);
+  std::size_t known = 0;
+  for (const auto& worker : second.scheduler->workers().all()) {
+    known += worker->runs.size();
+  }
+  cr_assert_eq(known, 6U);
+  cr_assert_eq(base.fleet.running(), 6U);
+}
+
 // Guards against a step that starts before the steps it depends on are done.
 Test(scheduler, runs_dependent_steps_in_order) {
   SchedBase base;
