--- a/include/arbutusdale/sched/placement_round.hpp
+++ b/include/arbutusdale/sched/placement_round.hpp
@@ -39,15 +39,19 @@
   };
 
   using ServiceImage = std::pair<std::string, ImageId>;
+  using Order = std::set<Ranked>;
 
   std::optional<WorkerSlot> choose_by_fit(const Task& task);
   std::optional<WorkerSlot> choose_by_image(const Task& task);
-  std::set<Ranked>& free_order(const std::string& service);
-  std::set<Ranked>& image_order(const Task& task);
+  Order& free_order(const std::string& service);
+  Order& image_order(const Task& task);
+  /// Moves the worker at `stale` to its rank, which has changed since tasks were placed there.
+  /// Returns the next one to look at, which is the moved one if it comes later than `least`.
+  static Order::iterator correct(Order& order, Order::iterator stale, double rank, double least);
 
   const PlacementView& m_view;
-  std::map<std::string, std::set<Ranked>> m_free;         // by service; by free processors
-  std::map<ServiceImage, std::set<Ranked>> m_for_images;  // by cost, lowest first
+  std::map<std::string, Order> m_free;         // by service; by free processors
+  std::map<ServiceImage, Order> m_for_images;  // by cost, lowest first
   std::uint64_t m_looks = 0;
 };
 
--- a/include/arbutusdale/sched/scheduler.hpp
+++ b/include/arbutusdale/sched/scheduler.hpp
@@ -115,7 +115,7 @@
   /// By then all leases of an earlier leader have ended.
   [[nodiscard]] TimePoint inherited_leases_end() const;
 
-  // Placement and orders, scheduler_orders.cpp.
+  // Placement, scheduler_placement.cpp.
   void place_when_due();
   void place();
   void update_scarcity();
@@ -124,9 +124,12 @@
   [[nodiscard]] bool is_starved(const Task& task) const;
   bool place_starved(Task& task);
   bool place_gang(Step& step);
+  void note_start_answered();
+  [[nodiscard]] std::uint32_t next_run_number(const Task& task) const;
+
+  // Orders and their answers, scheduler_orders.cpp.
   void order_start(Task& task, Worker& worker, std::uint32_t number);
   void send_start(Task& task, const Run& run);
-  void note_start_answered();
   void on_start_reply(const jobs::TaskId& id, std::uint32_t number, const Addressee& worker,
                       const tl::expected<OrderReply, OrderError>& reply);
   void on_start_refused(Task& task, Run& run, Worker& worker, const OrderError& error);
@@ -135,10 +138,11 @@
   void on_stop_reply(const jobs::TaskId& id, std::uint32_t number, const Addressee& worker,
                      const tl::expected<OrderReply, OrderError>& reply);
   void stop_stray(Worker& worker, const jobs::TaskId& id, std::uint32_t number);
+
+  // Speed of opportunistic runs, scheduler_pacing.cpp.
   void control_pace(Worker& worker);
   void order_paces(Worker& worker);
   void order_pace(Worker& worker, Task& task, Run& run);
-  [[nodiscard]] std::uint32_t next_run_number(const Task& task) const;
 
   // Advised queues, scheduler_advice.cpp.
   void request_advice(const std::vector<Step*>& unplaced);
--- a/src/arbutusdale/sched/placement_round.cpp
+++ b/src/arbutusdale/sched/placement_round.cpp
@@ -37,9 +37,18 @@
   return step.spec->opportunistic() ? choose_by_image(task) : choose_by_fit(task);
 }
 
-std::set<PlacementRound::Ranked>& PlacementRound::free_order(const std::string& service) {
+PlacementRound::Order::iterator PlacementRound::correct(Order& order, Order::iterator stale,
+                                                        double rank, double least) {
+  const WorkerSlot slot = stale->slot;
+  const auto next = order.erase(stale);
+  const auto moved = order.insert({rank, slot}).first;
+  const bool comes_next = rank >= least && (next == order.end() || *moved < *next);
+  return comes_next ? moved : next;
+}
+
+PlacementRound::Order& PlacementRound::free_order(const std::string& service) {
   const auto [found, added] = m_free.try_emplace(service);
-  std::set<Ranked>& order = found->second;
+  Order& order = found->second;
   if (!added) {
     return order;
   }
@@ -53,7 +62,7 @@
 }
 
 std::optional<WorkerSlot> PlacementRound::choose_by_fit(const Task& task) {
-  std::set<Ranked>& order = free_order(task.step->job->terms().service());
+  Order& order = free_order(task.step->job->terms().service());
   const auto need = static_cast<double>(task.step->need.cpu_millis);
   std::optional<WorkerSlot> best;
   double best_cost = 0;
@@ -64,12 +73,7 @@
     const Worker& worker = m_view.workers.at(ranked.slot);
     ++m_looks;
     if (const double rank = free_cpu(worker); rank != ranked.rank) {
-      // Tasks have been placed there since; it comes again if it still fits.
-      next = order.erase(next);
-      const auto moved = order.insert({rank, ranked.slot}).first;
-      if (rank >= need && (next == order.end() || *moved < *next)) {
-        next = moved;
-      }
+      next = correct(order, next, rank, need);
       continue;
     }
     ++next;
@@ -92,11 +96,11 @@
   return best;
 }
 
-std::set<PlacementRound::Ranked>& PlacementRound::image_order(const Task& task) {
+PlacementRound::Order& PlacementRound::image_order(const Task& task) {
   const Step& step = *task.step;
   const auto [found, added] =
       m_for_images.try_emplace(ServiceImage{step.job->terms().service(), step.image});
-  std::set<Ranked>& order = found->second;
+  Order& order = found->second;
   if (!added) {
     return order;
   }
@@ -112,7 +116,7 @@
 }
 
 std::optional<WorkerSlot> PlacementRound::choose_by_image(const Task& task) {
-  std::set<Ranked>& order = image_order(task);
+  Order& order = image_order(task);
   std::optional<WorkerSlot> best;
   double best_cost = 0;
   std::size_t passed_over = 0;
@@ -125,12 +129,7 @@
     ++m_looks;
     const double rank = image_cost(m_view, worker, task.step->image);
     if (rank != ranked.rank) {
-      // A cost only rises within a round, as tasks are placed there, so it comes again.
-      next = order.erase(next);
-      const auto moved = order.insert({rank, ranked.slot}).first;
-      if (next == order.end() || *moved < *next) {
-        next = moved;
-      }
+      next = correct(order, next, rank, rank);
       continue;
     }
     ++next;
