Do not infer from a refused connection that a worker has exited

Callers saw one task run twice at the same time. A registration that disappeared after few records of other workers counted as removed by its worker itself, and a refused connection to such a worker as proof that its process had ended. While the store is unavailable, or while many workers are cut off from it, registrations expire without records in between, and a partition can refuse connections; the runs go on and were started again elsewhere.

Class: a conclusion about a remote process drawn from the absence of messages. The rule is removed rather than narrowed, since neither offsets nor a refused connection prove an exit: the runs of an unreachable worker end with their leases. The rule had served draining workers, whose batch tasks would wait up to 6 s after the exit; these are now stopped 1.2 s before the announced earliest exit.

--- a/include/arbutusdale/sched/scheduler.hpp
+++ b/include/arbutusdale/sched/scheduler.hpp
@@ -67,7 +67,7 @@
   void on_cancelled(const jobs::JobId& job) override;
 
   void on_worker_updated(const WorkerEntry& entry) override;
-  void on_worker_gone(const std::string& id, bool before_expiry) override;
+  void on_worker_gone(const std::string& id) override;
   void on_workers_loaded() override { m_workers_loaded = true; }
 
   /// Every job that an earlier leader may have known has been passed to the scheduler. Workers are
@@ -114,7 +114,7 @@
   void process_pending();
   [[nodiscard]] std::optional<store::KeyedValue> roster_entry();
   [[nodiscard]] bool may_have_runs(const Worker& worker) const;
-  void stop_serving_runs(Worker& worker);
+  void move_runs_off_draining_worker(Worker& worker);
   [[nodiscard]] bool may_start_taken_over_jobs() const;
   /// Time after which all leases of earlier leaders have expired.
   [[nodiscard]] TimePoint earlier_leases_expire_at() const;
@@ -172,7 +172,6 @@
   /// Time after which no known run of the worker is alive.
   [[nodiscard]] TimePoint leases_expire_at(const Worker& worker) const;
   void check_lease(Worker& worker);
-  void drop_all_runs(Worker& worker, const char* reason);
   void presume_ended(const Worker& worker, const RunRef& ref, const char* reason);
   void log_unexpected_run(const Worker& worker, const RunningTask& row, const Task& task);
 
--- a/include/arbutusdale/sched/worker_directory.hpp
+++ b/include/arbutusdale/sched/worker_directory.hpp
@@ -19,10 +19,9 @@
 
   /// A registration is new, or has been written again.
   virtual void on_worker_updated(const WorkerEntry& entry) = 0;
-  /// The worker's registration is gone or can't be read. Its runs may still be alive.
-  /// `before_expiry` is true when the registration was removed sooner after its last heartbeat than
-  /// missing heartbeats would remove it, as when the worker removes it itself.
-  virtual void on_worker_gone(const std::string& id, bool before_expiry) = 0;
+  /// The worker's registration is gone or can't be read. Its runs may still be alive: the worker
+  /// may have exited, or its heartbeats may not have reached the store.
+  virtual void on_worker_gone(const std::string& id) = 0;
   /// All registrations have been read at least once.
   virtual void on_workers_loaded() = 0;
 };
--- a/include/arbutusdale/sched/worker_table.hpp
+++ b/include/arbutusdale/sched/worker_table.hpp
@@ -36,10 +36,9 @@
   WorkerSlot slot = 0;
   WorkerEntry entry;
   bool registered = false;
-  bool removed_before_expiry = false;  // see WorkerListener::on_worker_gone
-  bool has_exited = false;             // its process has ended; nothing runs there
-  bool in_roster = false;              // the stored roster names it; required for starts
-  bool in_earlier_roster = false;      // an earlier leader's roster names it
+  bool in_roster = false;          // the stored roster names it; required for starts
+  bool in_earlier_roster = false;  // an earlier leader's roster names it
+  TimePoint may_exit_at{};         // while draining: earliest time at which it exits
   WorkerLease lease;
   bool has_answered = false;       // this incarnation has answered a poll of this leader
   bool needs_poll = false;         // a start was unanswered since the last answered poll
--- a/src/arbutusdale/sched/scheduler.cpp
+++ b/src/arbutusdale/sched/scheduler.cpp
@@ -19,6 +19,8 @@
 // The last leases of an earlier leader were renewed before another daemon noticed its failure.
 // Longer than the longest lease plus clock drift.
 constexpr Duration k_earlier_lease_bound = std::chrono::milliseconds{6'500};
+// Time to stop the runs of a draining worker and to learn of their ends and checkpoints.
+constexpr Duration k_exit_margin = std::chrono::milliseconds{1'200};
 
 }  // namespace
 
@@ -319,8 +321,7 @@
   worker.entry = entry;
   worker.entry.incarnation = incarnation;
   worker.registered = true;
-  worker.removed_before_expiry = false;
-  worker.has_exited = false;
+  worker.may_exit_at = m_timer.now() + std::chrono::milliseconds{entry.remaining_ms};
   if (added || state_changed || restarted) {
     EventLine(added ? Event::worker_seen : Event::worker_changed)
         .add("worker", entry.id)
@@ -339,24 +340,21 @@
   }
 }
 
-void Scheduler::on_worker_gone(const std::string& id, bool before_expiry) {
+void Scheduler::on_worker_gone(const std::string& id) {
   Worker* worker = m_workers.find(id);
   if (worker == nullptr || !std::exchange(worker->registered, false)) {
     return;
   }
-  worker->removed_before_expiry = before_expiry;
-  EventLine(Event::worker_gone)
-      .add("worker", id)
-      .add("soon", before_expiry ? 1 : 0)
-      .add("runs", worker->runs.size())
-      .write();
+  EventLine(Event::worker_gone).add("worker", id).add("runs", worker->runs.size()).write();
 }
 
-// Serving tasks move to other workers at once, since the worker's runs end when it exits.
-void Scheduler::stop_serving_runs(Worker& worker) {
+// Runs end with their worker, and nothing but the expiry of their leases would then prove it.
+// Serving tasks move to other workers at once; the others may end in the time that is left.
+void Scheduler::move_runs_off_draining_worker(Worker& worker) {
+  const bool exits_soon = m_timer.now() + k_exit_margin >= worker.may_exit_at;
   for (const RunRef& ref : std::vector<RunRef>(worker.runs)) {
     Run* run = ref.task->find_run(ref.number);
-    if (run != nullptr && ref.task->step->spec->long_running()) {
+    if (run != nullptr && (exits_soon || ref.task->step->spec->long_running())) {
       stop_run(*ref.task, *run, "its worker is draining");
     }
   }
@@ -367,7 +365,7 @@
   const TimePoint now = m_timer.now();
   const bool awaiting_first_answer = worker.in_earlier_roster && !worker.has_answered &&
                                      now - m_started_at <= k_earlier_lease_bound;
-  const bool may_run = !worker.has_exited && now <= worker.lease.expires_at();
+  const bool may_run = now <= worker.lease.expires_at();
   return worker.registered || !worker.runs.empty() || awaiting_first_answer || may_run;
 }
 
@@ -428,7 +426,7 @@
   for (const auto& worker : m_workers.all()) {
     check_lease(*worker);
     if (worker->entry.state == WorkerState::draining) {
-      stop_serving_runs(*worker);
+      move_runs_off_draining_worker(*worker);
     }
     if (!worker->poll_in_flight && !worker->poll_scheduled) {
       schedule_poll(*worker, Duration::zero());
--- a/src/arbutusdale/sched/scheduler_polling.cpp
+++ b/src/arbutusdale/sched/scheduler_polling.cpp
@@ -145,14 +145,6 @@
         .add("runs", worker.runs.size())
         .write();
   }
-  if (error.reason == OrderFailure::connection_refused && worker.removed_before_expiry &&
-      !worker.registered) {
-    // The worker has removed its registration, and its process has ended.
-    worker.has_answered = true;
-    worker.has_exited = true;
-    drop_all_runs(worker, "it has exited");
-    return;
-  }
   schedule_poll(worker, k_poll_retry_interval);
 }
 
@@ -440,21 +432,17 @@
   if (now <= leases_expire_at(worker)) {
     return;
   }
-  drop_all_runs(worker, "its leases have expired");
-  // Runs that it still lists have to be adopted again.
-  worker.has_answered = false;
-}
-
-void Scheduler::drop_all_runs(Worker& worker, const char* reason) {
   EventLine(Event::worker_lost)
       .add("worker", worker.entry.id)
-      .add("reason", reason)
+      .add("reason", "its leases have expired")
       .add("runs", worker.runs.size())
-      .add_ms("silent_ms", m_timer.now() - worker.last_answer)
+      .add_ms("silent_ms", now - worker.last_answer)
       .write();
   for (const RunRef& ref : std::vector<RunRef>(worker.runs)) {
-    presume_ended(worker, ref, reason);
+    presume_ended(worker, ref, "its leases have expired");
   }
+  // Runs that it still lists have to be adopted again.
+  worker.has_answered = false;
 }
 
 // Drops a run of which no end has been reported. If the conclusion is wrong, the task runs twice.
--- a/src/arbutusdale/sched/scheduler_test.cpp
+++ b/src/arbutusdale/sched/scheduler_test.cpp
@@ -173,7 +173,7 @@
   first.frozen = true;
   fixture.fleet.at(cut_off).partitioned = true;
   LeaderFixture second(fixture.timer, fixture.fleet, fixture.log, 2);
-  second.scheduler->on_worker_gone(cut_off, false);
+  second.scheduler->on_worker_gone(cut_off);
   fixture.timer.advance(5s);
   cr_assert_eq(fixture.fleet.starts, 1U);
   fixture.timer.advance(6s);
@@ -267,6 +267,53 @@
   cr_assert_eq(fixture.fleet.doubled, 0U);
 }
 
+// Guards against batch tasks that wait for their leases to expire because their worker has exited
+// with them.
+Test(scheduler, stops_batch_tasks_before_their_worker_exits) {
+  FleetFixture fixture(2);
+  fixture.fleet.work_of = [](const jobs::TaskId&) { return 10s; };
+  LeaderFixture leader(fixture.timer, fixture.fleet, fixture.log);
+  fixture.timer.advance(1s);
+  JobBuilder job(1);
+  job.step(1, 2'000);
+  leader.submit(job);
+  fixture.timer.advance(500ms);
+  const std::string leaving = fixture.fleet.at("w00").runs.empty() ? "w01" : "w00";
+  WorkerEntry entry = fixture.fleet.at(leaving).entry;
+  entry.state = WorkerState::draining;
+  entry.remaining_ms = 3'000;
+  leader.scheduler->on_worker_updated(entry);
+  fixture.timer.advance(1'500ms);
+  cr_assert_eq(fixture.fleet.at(leaving).runs.size(), 1U, "there is time left");
+  fixture.timer.advance(1'500ms);
+  cr_assert_eq(fixture.fleet.at(leaving).runs.size(), 0U);
+  cr_assert_eq(fixture.fleet.starts, 2U);
+  cr_assert_eq(fixture.fleet.doubled, 0U);
+}
+
+// Guards against a second run of a task whose worker is unreachable: its registration has expired
+// while the store was unavailable, and the partition refuses connections, but its runs continue.
+Test(scheduler, a_refused_connection_does_not_end_the_runs_of_a_worker) {
+  FleetFixture fixture(2);
+  fixture.fleet.work_of = [](const jobs::TaskId&) { return 60s; };
+  LeaderFixture leader(fixture.timer, fixture.fleet, fixture.log);
+  fixture.timer.advance(1s);
+  JobBuilder job(1);
+  job.step(2, 2'000);
+  leader.submit(job);
+  fixture.timer.advance(1s);
+  for (const auto& [id, worker] : fixture.fleet.all()) {
+    worker->refuses_connections = !worker->runs.empty();
+    leader.scheduler->on_worker_gone(id);
+    if (worker->runs.empty()) {
+      leader.scheduler->on_worker_updated(worker->entry);
+    }
+  }
+  fixture.timer.advance(12s);
+  cr_assert_eq(fixture.fleet.doubled, 0U);
+  cr_assert_gt(fixture.fleet.starts, 2U, "the tasks start again once the leases have expired");
+}
+
 // Guards against committing more than a worker's processors or memory.
 Test(scheduler, never_commits_a_worker_beyond_its_capacity) {
   FleetFixture fixture(3, 4'000);
@@ -345,7 +392,7 @@
   fixture.timer.advance(1s);
   cr_assert_eq(fixture.log.jobs.roster().workers_size(), 2);
   fixture.fleet.at("w00").partitioned = true;
-  first.scheduler->on_worker_gone("w00", false);
+  first.scheduler->on_worker_gone("w00");
   fixture.timer.advance(10s);
   cr_assert_eq(fixture.log.jobs.roster().workers_size(), 1);
 }
