Compare the limits of a leader's orders with the time of each order

Callers could see one task run twice. Whether the leader may start tasks and extend leases was computed every 100 ms. A daemon that is suspended, or whose loop is late, goes on with the old answer when it resumes: replies that have arrived meanwhile are handled before the next tick, and each sends polls and starts. Its successor counts on the earlier leader's leases to end 6.5 s after the claim; one such poll extends them by 6 s on a worker that the successor does not reach.

The leader now passes the scheduler the times until which it may send starts and polls, and each order compares them with its own time, also before the first tick.

The new test fails with the limits reduced to the flags that they replace (it starts a task after the limit).

--- a/include/arbutusdale/fleet/leader.hpp
+++ b/include/arbutusdale/fleet/leader.hpp
@@ -58,7 +58,7 @@
   void write(std::vector<store::KeyedValue> entries, std::function<void(bool)> done) override;
 
   void send_heartbeat();
-  void update_confirmation();
+  void update_order_limits();
   [[nodiscard]] jobs::Leadership make_record(bool released) const;
 
   Timer& m_timer;
--- a/include/arbutusdale/sched/scheduler.hpp
+++ b/include/arbutusdale/sched/scheduler.hpp
@@ -50,6 +50,12 @@
   std::uint32_t term = 1;  // number of this leadership; runs of a later term have higher numbers
 };
 
+/// Times after which the leader must not send orders, because another daemon may lead by then.
+struct OrderLimits {
+  TimePoint start_until = TimePoint::max();
+  TimePoint poll_until = TimePoint::max();  // polls extend leases
+};
+
 /// Schedules the tasks of a fleet during one term of leadership. Not thread-safe.
 class Scheduler final : public jobs::JobListener, public WorkerListener {
  public:
@@ -74,9 +80,9 @@
   /// not polled before that, since their answers may be about jobs that are not known yet.
   void on_jobs_caught_up();
 
-  /// Sets whether the leader may start tasks and whether it may poll workers, which renews leases.
-  /// Neither is allowed once the store has not confirmed its leadership for too long.
-  void set_permissions(bool may_start, bool may_poll);
+  /// Sets until when the leader may start tasks and poll workers. The limits are compared with the
+  /// time of each order, since a suspended process resumes without a tick in between.
+  void set_order_limits(const OrderLimits& limits);
 
   /// Repeats orders, checks leases and opens occurrences; call it every 100 ms.
   void tick();
@@ -116,6 +122,8 @@
   [[nodiscard]] bool may_have_runs(const Worker& worker) const;
   void move_runs_off_draining_worker(Worker& worker);
   [[nodiscard]] bool may_start_taken_over_jobs() const;
+  [[nodiscard]] bool may_start() const { return m_timer.now() <= m_order_limits.start_until; }
+  [[nodiscard]] bool may_poll() const { return m_timer.now() <= m_order_limits.poll_until; }
   /// Time after which all leases of earlier leaders have expired.
   [[nodiscard]] TimePoint earlier_leases_expire_at() const;
 
@@ -202,8 +210,7 @@
   bool m_workers_loaded = false;
   bool m_jobs_caught_up = false;
   bool m_has_predecessor = false;
-  bool m_may_start = true;
-  bool m_may_poll = true;
+  OrderLimits m_order_limits;
   bool m_place_due = false;
   bool m_round_scheduled = false;
   std::size_t m_starts_in_flight = 0;
--- a/src/arbutusdale/fleet/leader.cpp
+++ b/src/arbutusdale/fleet/leader.cpp
@@ -26,6 +26,7 @@
       m_log(store, timer, jobs::leader_partition(), k_leader_producer, m_claim.fencing_token,
             m_claim.claim_sequence + 1),
       m_scheduler(orders, advisor, *this, timer, {m_claim.fencing_token, m_claim.term}, m_on_lost) {
+  update_order_limits();
   m_scheduler.take_over(jobs);
   m_directory = directory(m_scheduler);
 }
@@ -48,19 +49,19 @@
 }
 
 void Leader::tick() {
-  update_confirmation();
-  if (!m_releasing) {
-    send_heartbeat();
-    m_scheduler.tick();
+  if (m_releasing) {
+    return;
   }
+  update_order_limits();
+  send_heartbeat();
+  m_scheduler.tick();
 }
 
-void Leader::update_confirmation() {
+void Leader::update_order_limits() {
   const TimePoint last =
       std::max(m_claim.claimed_at, m_log.last_success_sent().value_or(TimePoint{}));
-  const Duration age = m_timer.now() - last;
-  m_scheduler.set_permissions(!m_releasing && age <= k_max_confirmation_age_for_starts,
-                              !m_releasing && age <= k_max_confirmation_age_for_leases);
+  m_scheduler.set_order_limits(
+      {last + k_max_confirmation_age_for_starts, last + k_max_confirmation_age_for_leases});
 }
 
 void Leader::send_heartbeat() {
@@ -85,7 +86,7 @@
   if (std::exchange(m_releasing, true)) {
     return;
   }
-  m_scheduler.set_permissions(false, false);
+  m_scheduler.set_order_limits({TimePoint{}, TimePoint{}});
   m_log.write({jobs::encode(make_record(true))}, m_timer.now() + k_release_timeout,
               [done = std::move(done)](store::CommitOutcome) { done(); });
 }
--- a/src/arbutusdale/sched/sched_fixture_test.hpp
+++ b/src/arbutusdale/sched/sched_fixture_test.hpp
@@ -90,9 +90,7 @@
   /// Behaves as a leader whose term the store no longer confirms: it starts nothing from the time
   /// that another may claim the leadership, and renews no leases a little later.
   void lose_leadership() {
-    scheduler->set_permissions(false, true);
-    timer.call_after(std::chrono::milliseconds{800},
-                     [this] { scheduler->set_permissions(false, false); });
+    scheduler->set_order_limits({TimePoint{}, timer.now() + std::chrono::milliseconds{800}});
   }
 
   void submit(JobBuilder job) {
--- a/src/arbutusdale/sched/scheduler.cpp
+++ b/src/arbutusdale/sched/scheduler.cpp
@@ -401,10 +401,10 @@
   }
 }
 
-void Scheduler::set_permissions(bool may_start, bool may_poll) {
-  m_place_due = m_place_due || (may_start && !m_may_start);
-  m_may_start = may_start;
-  m_may_poll = may_poll;
+void Scheduler::set_order_limits(const OrderLimits& limits) {
+  const bool could_start = may_start();
+  m_order_limits = limits;
+  m_place_due = m_place_due || (may_start() && !could_start);
 }
 
 void Scheduler::update_typical_speed() {
--- a/src/arbutusdale/sched/scheduler_placement.cpp
+++ b/src/arbutusdale/sched/scheduler_placement.cpp
@@ -55,7 +55,7 @@
 }
 
 void Scheduler::place() {
-  if (!m_may_start) {
+  if (!may_start()) {
     return;
   }
   const TimePoint now = m_timer.now();
--- a/src/arbutusdale/sched/scheduler_polling.cpp
+++ b/src/arbutusdale/sched/scheduler_polling.cpp
@@ -67,7 +67,7 @@
 void Scheduler::send_poll(Worker& worker) {
   const bool needed = worker.registered || !worker.runs.empty() ||
                       (worker.in_earlier_roster && !worker.has_answered);
-  if (!m_may_poll || !needed || !m_jobs_caught_up) {
+  if (!may_poll() || !needed || !m_jobs_caught_up) {
     return;  // tick() tries again
   }
   const TimePoint now = m_timer.now();
--- a/src/arbutusdale/sched/scheduler_test.cpp
+++ b/src/arbutusdale/sched/scheduler_test.cpp
@@ -26,7 +26,7 @@
   LeaderFixture second(fixture.timer, fixture.fleet, fixture.log, 2);
   fixture.timer.advance(1ms);
   // The first polls are in flight; no lease is renewed after them.
-  second.scheduler->set_permissions(true, false);
+  second.scheduler->set_order_limits({TimePoint::max(), TimePoint{}});
   fixture.timer.advance(500ms);
   std::size_t known = 0;
   for (const auto& worker : second.scheduler->workers().all()) {
@@ -291,6 +291,30 @@
   cr_assert_eq(fixture.fleet.doubled, 0U);
 }
 
+// Guards against a leader that resumes after a suspension, or whose ticks are late, and that sends
+// orders at a time when another daemon may lead.
+Test(scheduler, sends_no_orders_beyond_its_limits_between_two_ticks) {
+  FleetFixture fixture(2);
+  fixture.fleet.work_of = [](const jobs::TaskId&) { return 60s; };
+  LeaderFixture leader(fixture.timer, fixture.fleet, fixture.log);
+  fixture.timer.advance(1s);
+  JobBuilder job(1);
+  job.step(2, 2'000);
+  leader.submit(job);
+  fixture.timer.advance(500ms);
+  cr_assert_eq(fixture.fleet.starts, 2U);
+  const TimePoint limit = fixture.timer.now() + 500ms;
+  leader.scheduler->set_order_limits({limit, limit});
+  leader.frozen = true;
+  fixture.timer.advance(2s);
+  JobBuilder later(2);
+  later.step(1, 2'000);
+  leader.submit(later);
+  fixture.timer.advance(6s);
+  cr_assert_eq(fixture.fleet.starts, 2U);
+  cr_assert_eq(fixture.fleet.running(), 0U, "the leases expire");
+}
+
 // Guards against a second run of a task whose worker is unreachable: its registration has expired
 // while the store was unavailable, and the partition refuses connections, but its runs continue.
 Test(scheduler, a_refused_connection_does_not_end_the_runs_of_a_worker) {
