Count an earlier leader's lease while it may hold

Callers saw one task run twice at the same time, and a task started again after it had ended. A worker has one lease for all its runs. A new leader's first polls extend no lease, and its first start on a worker asks for 2.5 s. When the worker then leaves the next poll unanswered, the leader took the runs for expired after these 2.5 s, although the lease of the earlier leader held for up to 6 s, and started tasks of jobs that are new to it elsewhere.

Class: a bound on a remote lease computed only from one's own grants. The end of the leases is now the later one of our own grants and the bound for earlier leaders. The new test fails without the change (one task doubled).

--- a/src/arbutusdale/sched/scheduler_polling.cpp
+++ b/src/arbutusdale/sched/scheduler_polling.cpp
@@ -417,11 +417,13 @@
   if (!worker.lease.knows_clock()) {
     return worker.last_answer + k_late_order_bound;
   }
+  // A worker has one lease for all its runs, which also an earlier leader may have extended.
+  const TimePoint earlier = m_has_predecessor ? earlier_leases_expire_at() : TimePoint{};
   if (worker.lease.expires_at() != TimePoint{}) {
-    return worker.lease.expires_at();
+    return std::max(worker.lease.expires_at(), earlier);
   }
   // This leader has adopted the runs and has not renewed their leases yet.
-  return std::max(earlier_leases_expire_at(), worker.last_answer + k_first_renewal_bound);
+  return std::max(earlier, worker.last_answer + k_first_renewal_bound);
 }
 
 void Scheduler::check_lease(Worker& worker) {
--- a/src/arbutusdale/sched/scheduler_test.cpp
+++ b/src/arbutusdale/sched/scheduler_test.cpp
@@ -36,6 +36,32 @@
   cr_assert_eq(fixture.fleet.running(), 6U);
 }
 
+// Guards against a second run of a task that a new leader has started beside adopted ones: the lease
+// granted with the start is shorter than the earlier leader's, which still holds for all runs of
+// the worker when it can't be reached.
+Test(scheduler, a_short_lease_does_not_hide_the_longer_one_of_the_earlier_leader) {
+  FleetFixture fixture(2);
+  fixture.fleet.work_of = [](const jobs::TaskId&) { return 60s; };
+  LeaderFixture first(fixture.timer, fixture.fleet, fixture.log);
+  fixture.timer.advance(1s);
+  JobBuilder adopted(1);
+  adopted.step(1, 1'000);
+  first.submit(adopted);
+  fixture.timer.advance(1s);
+  first.frozen = true;
+  LeaderFixture second(fixture.timer, fixture.fleet, fixture.log, 2);
+  JobBuilder job(2);
+  job.step(1, 1'000);
+  second.submit(job);
+  fixture.timer.advance(100ms);
+  const std::string shared = fixture.fleet.at("w00").runs.empty() ? "w01" : "w00";
+  cr_assert_eq(fixture.fleet.at(shared).runs.size(), 2U);
+  fixture.fleet.at(shared).partitioned = true;
+  fixture.timer.advance(12s);
+  cr_assert_eq(fixture.fleet.doubled, 0U);
+  cr_assert_eq(fixture.fleet.running(), 2U, "both tasks run again once the leases have expired");
+}
+
 // Guards against a step that starts before the steps it depends on are done.
 Test(scheduler, runs_dependent_steps_in_order) {
   FleetFixture fixture;
