--- a/src/arbutusdale/sched/fake_fleet_test.hpp
+++ b/src/arbutusdale/sched/fake_fleet_test.hpp
@@ -32,8 +32,10 @@
   std::uint64_t token = 0;
   std::uint64_t lease_until_ms = 0;
   TimePoint started_at{};
+  std::uint64_t first_clock_ms = 0;  // its clock when it started
   std::vector<FakeRun> runs;
   std::vector<EndedRun> ended;
+  std::map<std::uint64_t, TimePoint> done_at;  // of the runs in `ended` that count if noted
   std::uint64_t end_count = 0;
   std::map<std::string, std::uint32_t> superseded_through;  // highest run stopped or ended, by task
   bool partitioned = false;          // receives no orders and sends no answers
@@ -41,6 +43,7 @@
   Duration start_delay{};            // starts are not answered and are carried out this much later
   bool fails_all_runs = false;       // every run fails
   bool refuses_connections = false;  // its runs continue
+  bool crashed = false;              // its process has ended
 };
 
 /// Advice service that gives expiring tickets for the workers in `allowed`.
@@ -105,8 +108,9 @@
   Duration start_latency{};  // in addition to the network delay
   std::size_t starts_in_flight = 0;
   std::size_t most_starts_in_flight = 0;
-  std::uint64_t invalid_tickets = 0;  // starts refused for an invalid ticket
-  std::uint64_t doubled = 0;          // starts of a task while another run of it was alive
+  std::uint64_t invalid_tickets = 0;     // starts refused for an invalid ticket
+  std::uint64_t doubled = 0;             // starts of a task while another run of it was alive
+  std::uint64_t started_after_done = 0;  // starts of a task after a noted run of it that succeeded
   std::uint64_t starts = 0;
   std::map<std::string, std::uint32_t> successes;  // successful runs, by task
 
@@ -126,15 +130,26 @@
   FakeWorker& at(const std::string& id) { return *m_workers.at(id); }
   std::map<std::string, std::unique_ptr<FakeWorker>>& all() { return m_workers; }
 
+  /// Ends the worker's process; all its runs are lost, and connections to it are refused.
+  void crash(const std::string& id) {
+    FakeWorker& worker = at(id);
+    worker.runs.clear();
+    worker.crashed = true;
+  }
+
   /// Restarts the worker under the same id; all its runs are lost.
-  void restart(const std::string& id) {
+  void restart(const std::string& id, std::uint64_t first_clock_ms = 0) {
     FakeWorker& worker = at(id);
     worker.runs.clear();
     worker.ended.clear();
+    worker.done_at.clear();
     worker.superseded_through.clear();
     worker.end_count = 0;
     worker.token = 0;
+    worker.lease_until_ms = 0;
+    worker.crashed = false;
     worker.started_at = m_timer.now();
+    worker.first_clock_ms = first_clock_ms;
     ++worker.entry.incarnation;
   }
 
@@ -147,11 +162,9 @@
       if (order.lease_until_ms) {
         extend(worker, *order.lease_until_ms);
       }
-      std::erase_if(worker.ended, [&order](const EndedRun& end) {
-        return end.sequence <= order.acknowledged_through;
-      });
-      wait_for_end(worker.entry.id, m_timer.now() + std::chrono::milliseconds{order.wait_ms},
-                   answer);
+      note_ends(worker, order.acknowledged_through);
+      wait_for_end(worker.entry.id, worker.entry.incarnation,
+                   m_timer.now() + std::chrono::milliseconds{order.wait_ms}, answer);
     });
   }
 
@@ -219,7 +232,8 @@
   static constexpr Duration k_answer_timeout = std::chrono::milliseconds{600};
 
   [[nodiscard]] std::uint64_t clock_of(const FakeWorker& worker) const {
-    return static_cast<std::uint64_t>((m_timer.now() - worker.started_at).count() / 1'000);
+    const auto passed = (m_timer.now() - worker.started_at).count() / 1'000;
+    return worker.first_clock_ms + static_cast<std::uint64_t>(passed);
   }
 
   static bool fenced(FakeWorker& worker, std::uint64_t token) {
@@ -252,7 +266,7 @@
         time_out<Reply>(done);
         return;
       }
-      if (found->second->refuses_connections) {
+      if (found->second->refuses_connections || found->second->crashed) {
         done(tl::unexpected(OrderError{OrderFailure::connection_refused, std::nullopt, "refused"}));
         return;
       }
@@ -296,6 +310,8 @@
     extend(worker, order.lease_until_ms);
     ++starts;
     doubled += is_alive(order.task) ? 1 : 0;
+    started_after_done += m_noted.contains(name) ? 1 : 0;
+    m_last_start[name] = m_timer.now();
     FakeRun run;
     run.task = order.task;
     run.number = order.run;
@@ -305,6 +321,22 @@
     return OrderReply{clock_of(worker)};
   }
 
+  // Forgets the ends up to `sequence`. The success of a task counts from then on, unless the
+  // worker's lease expired before.
+  void note_ends(FakeWorker& worker, std::uint64_t sequence) {
+    for (const EndedRun& end : worker.ended) {
+      const auto done = worker.done_at.find(end.sequence);
+      if (end.sequence > sequence || done == worker.done_at.end()) {
+        continue;
+      }
+      const std::string name = name_of(end.task);
+      started_after_done += m_last_start[name] > done->second ? 1 : 0;
+      m_noted.insert(name);
+    }
+    std::erase_if(worker.ended,
+                  [sequence](const EndedRun& end) { return end.sequence <= sequence; });
+  }
+
   [[nodiscard]] bool is_alive(const jobs::TaskId& task) const {
     for (const auto& [id, worker] : m_workers) {
       for (const FakeRun& run : worker->runs) {
@@ -328,14 +360,23 @@
     auto& superseded = worker.superseded_through[name_of(task)];
     superseded = std::max(superseded, number);
     worker.ended.push_back({++worker.end_count, task, number, outcome, ""});
-    successes[name_of(task)] += outcome == RunOutcome::done ? 1 : 0;
+    if (outcome == RunOutcome::done) {
+      ++successes[name_of(task)];
+      worker.done_at[worker.end_count] = m_timer.now();
+    }
   }
 
-  void wait_for_end(const std::string& id, TimePoint until,
+  void wait_for_end(const std::string& id, std::uint64_t incarnation, TimePoint until,
                     const std::function<void(tl::expected<PollReply, OrderError>)>& answer) {
     FakeWorker& worker = at(id);
+    if (worker.entry.incarnation != incarnation || worker.crashed) {
+      answer(tl::unexpected(OrderError{OrderFailure::unknown, std::nullopt, "connection lost"}));
+      return;
+    }
     if (worker.ended.empty() && m_timer.now() < until && !worker.partitioned) {
-      m_timer.call_after(k_tick, [this, id, until, answer] { wait_for_end(id, until, answer); });
+      m_timer.call_after(k_tick, [this, id, incarnation, until, answer] {
+        wait_for_end(id, incarnation, until, answer);
+      });
       return;
     }
     PollReply reply;
@@ -353,6 +394,9 @@
 
   void tick() {
     for (const auto& [id, worker] : m_workers) {
+      if (clock_of(*worker) > worker->lease_until_ms) {
+        worker->done_at.clear();
+      }
       for (const FakeRun& copy : std::vector<FakeRun>(worker->runs)) {
         const auto run =
             std::find_if(worker->runs.begin(), worker->runs.end(), [&copy](const FakeRun& other) {
@@ -374,6 +418,8 @@
 
   store::FakeTimer& m_timer;
   std::map<std::string, std::unique_ptr<FakeWorker>> m_workers;
+  std::set<std::string> m_noted;                  // tasks with a noted successful end
+  std::map<std::string, TimePoint> m_last_start;  // by task
 };
 
 /// Progress log in memory.
