Do not take a start for ended whose order may reach the next incarnation

A worker that starts again under its id knows nothing of earlier stops. The leader dropped every run whose start had been answered, and started the task elsewhere, although the new incarnation may have been the one that answered, or may still receive the first, unanswered order of a start that was sent twice. A stop that the earlier incarnation had confirmed counted for the new one.

An unanswered start is now remembered whatever its repeat brings. After a restart, a run ends at once only if a poll had listed it and no order of its start is outstanding; a run that was answered and never listed is decided by the next poll; anything else is stopped again and ends with a poll that does not list it.

--- a/include/arbutusdale/sched/scheduler.hpp
+++ b/include/arbutusdale/sched/scheduler.hpp
@@ -147,6 +147,7 @@
   void on_start_error(Task& task, Run& run, Worker& worker, const OrderError& error);
   void stop_run(Task& task, Run& run, const char* reason);
   void send_stop(Task& task, Run& run);
+  void restart_stop(Task& task, Run& run, const char* reason);
   void on_stop_reply(const jobs::TaskId& id, std::uint32_t number, const WorkerEndpoint& worker,
                      const tl::expected<OrderReply, OrderError>& reply);
   void stop_unwanted_run(Worker& worker, const jobs::TaskId& id, std::uint32_t number);
@@ -169,6 +170,8 @@
   void on_poll_reply(const PollContext& context, const tl::expected<PollReply, OrderError>& reply);
   void on_poll_error(Worker& worker, const OrderError& error);
   void begin_incarnation(Worker& worker, std::uint64_t incarnation);
+  void resolve_run_after_restart(Worker& worker, const RunRef& ref);
+  void stop_late_starts(Worker& worker);
   void apply_ended_run(Worker& worker, const EndedRun& end);
   void record_failed_run(Task& task, Worker& worker, std::uint32_t number);
   void update_runs(Worker& worker, const PollReply& reply);
--- a/include/arbutusdale/sched/task_table.hpp
+++ b/include/arbutusdale/sched/task_table.hpp
@@ -29,6 +29,7 @@
   WorkerSlot worker = 0;
   RunPhase phase = RunPhase::starting;
   bool resent = false;          // its start was unanswered and has been sent again
+  bool listed = false;          // a poll reply has listed it, so it has begun on its worker
   bool stop_confirmed = false;  // the worker has answered the stop
   bool stop_in_flight = false;
   TimePoint order_sent_at{};  // the last start or stop
--- a/include/arbutusdale/sched/worker_table.hpp
+++ b/include/arbutusdale/sched/worker_table.hpp
@@ -25,7 +25,8 @@
   std::uint32_t number = 0;
 };
 
-/// A start without an answer. It may still be carried out, even by the worker's next incarnation.
+/// A start order without an answer. It may still be carried out, even by the worker's next
+/// incarnation, and also when a repeat of it was answered.
 struct UnansweredStart {
   jobs::TaskId task;
   std::uint32_t run = 0;
@@ -57,7 +58,7 @@
   std::uint64_t serving_cpu_millis = 0;
   std::uint64_t opportunistic_cpu_millis = 0;
   std::vector<RunRef> runs;
-  std::vector<UnansweredStart> unanswered;  // within the last k_late_order_bound
+  std::vector<UnansweredStart> unanswered;  // since k_late_order_bound
 
   ThrottleControl throttle_control;
   bool polled_frequently = false;  // because it runs harmful opportunistic tasks
@@ -86,6 +87,11 @@
   void add_run(Task& task, std::uint32_t number);
   void remove_run(const Task& task, std::uint32_t number);
 
+  /// Remembers a start that was sent at `sent_at` and may still be carried out.
+  void note_unanswered_start(const jobs::TaskId& task, std::uint32_t run, TimePoint sent_at);
+  [[nodiscard]] bool may_still_start(const jobs::TaskId& task, std::uint32_t run,
+                                     TimePoint now) const;
+
   void note_success();
   /// Returns true when the failures in a row start a quarantine.
   bool note_failure(TimePoint now);
--- a/src/arbutusdale/sched/restarted_worker_known_red.cpp
+++ b/src/arbutusdale/sched/restarted_worker_test.cpp
@@ -1,5 +1,4 @@
-// Known failures, listed in KNOWN-RED.txt: a start that was answered takes effect in the next
-// incarnation of its worker, of which the leader concludes that nothing runs there.
+// Starts that take effect in the next incarnation of a worker, which keeps its id.
 #include <chrono>
 
 #include "sched_fixture_test.hpp"
--- a/src/arbutusdale/sched/scheduler_orders.cpp
+++ b/src/arbutusdale/sched/scheduler_orders.cpp
@@ -87,10 +87,13 @@
   const TimePoint sent = m_timer.now();
   m_orders.start(endpoint, order,
                  [this, alive = m_alive, id = order.task, number = run.number, endpoint,
-                  sent](const tl::expected<OrderReply, OrderError>& reply) {
+                  slot = run.worker, sent](const tl::expected<OrderReply, OrderError>& reply) {
                    if (*alive) {
                      release_start_slot();
                      observe::record_timing(observe::Timing::start_call, m_timer.now() - sent);
+                     if (!reply && reply.error().reason == OrderFailure::unknown) {
+                       m_workers.at(slot).note_unanswered_start(id, number, sent);
+                     }
                      on_start_reply(id, number, endpoint, reply);
                      process_pending();
                    }
@@ -148,10 +151,6 @@
       .write();
   if (unknown) {
     worker.needs_poll = true;
-    std::erase_if(worker.unanswered, [this](const UnansweredStart& start) {
-      return m_timer.now() - start.sent_at > k_late_order_bound;
-    });
-    worker.unanswered.push_back({task.step->job->task_id(task), run.number, m_timer.now()});
     stop_run(task, run, "its start was not answered");
     return;
   }
@@ -246,6 +245,18 @@
   run->confirmed_at = m_timer.now();
 }
 
+// The confirmation of an earlier incarnation does not bind the present one.
+void Scheduler::restart_stop(Task& task, Run& run, const char* reason) {
+  run.stop_confirmed = false;
+  run.stop_in_flight = false;
+  if (run.phase == RunPhase::stopping) {
+    run.order_sent_at = TimePoint{};
+    send_stop(task, run);
+    return;
+  }
+  stop_run(task, run, reason);
+}
+
 void Scheduler::stop_unwanted_run(Worker& worker, const jobs::TaskId& id, std::uint32_t number) {
   worker.has_unwanted_runs = true;
   EventLine(Event::run_stopping)
--- a/src/arbutusdale/sched/scheduler_polling.cpp
+++ b/src/arbutusdale/sched/scheduler_polling.cpp
@@ -148,8 +148,7 @@
   schedule_poll(worker, k_poll_retry_interval);
 }
 
-// All runs of the earlier incarnation have ended, but an unanswered start may still reach the new
-// one.
+// All runs of the earlier incarnation have ended.
 void Scheduler::begin_incarnation(Worker& worker, std::uint64_t incarnation) {
   const bool known = worker.entry.incarnation != 0;
   worker.entry.incarnation = incarnation;
@@ -161,12 +160,6 @@
       .add("incarnation", incarnation)
       .add("runs", worker.runs.size())
       .write();
-  // The new incarnation does not know which runs the earlier one was told to stop.
-  for (const UnansweredStart& start : worker.unanswered) {
-    if (m_timer.now() - start.sent_at <= k_late_order_bound) {
-      stop_unwanted_run(worker, start.task, start.run);
-    }
-  }
   worker.lease = WorkerLease{};
   worker.has_answered = false;
   worker.has_unwanted_runs = false;
@@ -175,14 +168,44 @@
   worker.poll_in_flight = false;
   ++worker.poll_serial;
   for (const RunRef& ref : std::vector<RunRef>(worker.runs)) {
-    Run* run = ref.task->find_run(ref.number);
-    const bool may_arrive =
-        run != nullptr && run->phase != RunPhase::running && run->confirmed_at == TimePoint{};
-    if (may_arrive) {
-      stop_run(*ref.task, *run, "its worker has restarted");
-      continue;
+    resolve_run_after_restart(worker, ref);
+  }
+  stop_late_starts(worker);
+}
+
+// A run has ended with the earlier incarnation if it had begun there and no order is outstanding
+// that could start it again.
+void Scheduler::resolve_run_after_restart(Worker& worker, const RunRef& ref) {
+  constexpr const char* k_reason = "its worker has restarted";
+  Task& task = *ref.task;
+  Run* run = task.find_run(ref.number);
+  if (run == nullptr) {
+    return;
+  }
+  const jobs::TaskId id = task.step->job->task_id(task);
+  const bool may_start = worker.may_still_start(id, ref.number, m_timer.now());
+  if (run->listed && !may_start) {
+    presume_ended(worker, ref, k_reason);
+    return;
+  }
+  if (run->phase == RunPhase::running && !may_start) {
+    // Either incarnation may have answered the start; the next poll tells which.
+    run->confirmed_at = m_timer.now();
+    return;
+  }
+  restart_stop(task, *run, k_reason);
+}
+
+// The new incarnation does not know which runs the earlier one was told to stop.
+void Scheduler::stop_late_starts(Worker& worker) {
+  for (const UnansweredStart& start : worker.unanswered) {
+    const bool is_known =
+        std::any_of(worker.runs.begin(), worker.runs.end(), [&start](const RunRef& ref) {
+          return ref.number == start.run && ref.task->step->job->task_id(*ref.task) == start.task;
+        });
+    if (!is_known && m_timer.now() - start.sent_at <= k_late_order_bound) {
+      stop_unwanted_run(worker, start.task, start.run);
     }
-    presume_ended(worker, ref, "its worker has restarted");
   }
 }
 
@@ -293,6 +316,7 @@
         .add("worker", worker.entry.id)
         .write();
   }
+  run->listed = true;
   if (run->phase == RunPhase::starting || run->confirmed_at == TimePoint{}) {
     run->confirmed_at = m_timer.now();
   }
--- a/src/arbutusdale/sched/scheduler_test.cpp
+++ b/src/arbutusdale/sched/scheduler_test.cpp
@@ -36,9 +36,9 @@
   cr_assert_eq(fixture.fleet.running(), 6U);
 }
 
-// Guards against a second run of a task that a new leader has started beside adopted ones: the lease
-// granted with the start is shorter than the earlier leader's, which still holds for all runs of
-// the worker when it can't be reached.
+// Guards against a second run of a task that a new leader has started beside adopted ones: the
+// lease granted with the start is shorter than the earlier leader's, which still holds for all runs
+// of the worker when it can't be reached.
 Test(scheduler, a_short_lease_does_not_hide_the_longer_one_of_the_earlier_leader) {
   FleetFixture fixture(2);
   fixture.fleet.work_of = [](const jobs::TaskId&) { return 60s; };
--- a/src/arbutusdale/sched/worker_table.cpp
+++ b/src/arbutusdale/sched/worker_table.cpp
@@ -68,6 +68,19 @@
   opportunistic_cpu_millis -= step.spec->opportunistic() ? step.need.cpu_millis : 0;
 }
 
+void Worker::note_unanswered_start(const jobs::TaskId& task, std::uint32_t run, TimePoint sent_at) {
+  std::erase_if(unanswered, [sent_at](const UnansweredStart& start) {
+    return sent_at - start.sent_at > k_late_order_bound;
+  });
+  unanswered.push_back({task, run, sent_at});
+}
+
+bool Worker::may_still_start(const jobs::TaskId& task, std::uint32_t run, TimePoint now) const {
+  return std::any_of(unanswered.begin(), unanswered.end(), [&](const UnansweredStart& start) {
+    return start.run == run && start.task == task && now - start.sent_at <= k_late_order_bound;
+  });
+}
+
 void Worker::note_success() {
   failures_in_row = 0;
   quarantines = 0;
