--- a/src/arbutusdale/sched/fake_fleet_test.hpp
+++ b/src/arbutusdale/sched/fake_fleet_test.hpp
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "../store/fake_store_test.hpp"
+#include <fmt/format.h>
 
 namespace arbutusdale::sched {
 
@@ -111,6 +112,7 @@
   std::uint64_t invalid_tickets = 0;     // starts refused for an invalid ticket
   std::uint64_t doubled = 0;             // starts of a task while another run of it was alive
   std::uint64_t started_after_done = 0;  // starts of a task after a noted run of it that succeeded
+  std::vector<std::string> violations;   // descriptions of the starts counted above
   std::uint64_t starts = 0;
   std::map<std::string, std::uint32_t> successes;  // successful runs, by task
 
@@ -309,8 +311,12 @@
     }
     extend(worker, order.lease_until_ms);
     ++starts;
-    doubled += is_alive(order.task) ? 1 : 0;
-    started_after_done += m_noted.contains(name) ? 1 : 0;
+    note_if_doubled(worker, order);
+    if (m_noted.contains(name)) {
+      ++started_after_done;
+      violate(fmt::format("run {} of {} on {} starts after a success", order.run, name,
+                          worker.entry.id));
+    }
     m_last_start[name] = m_timer.now();
     FakeRun run;
     run.task = order.task;
@@ -330,22 +336,33 @@
         continue;
       }
       const std::string name = name_of(end.task);
-      started_after_done += m_last_start[name] > done->second ? 1 : 0;
+      if (m_last_start[name] > done->second) {
+        ++started_after_done;
+        violate(fmt::format("the success of run {} of {} on {} is noted after another start",
+                            end.run, name, worker.entry.id));
+      }
       m_noted.insert(name);
     }
     std::erase_if(worker.ended,
                   [sequence](const EndedRun& end) { return end.sequence <= sequence; });
   }
 
-  [[nodiscard]] bool is_alive(const jobs::TaskId& task) const {
-    for (const auto& [id, worker] : m_workers) {
-      for (const FakeRun& run : worker->runs) {
-        if (run.task == task) {
-          return true;
+  void note_if_doubled(const FakeWorker& worker, const StartOrder& order) {
+    bool is_alive = false;
+    for (const auto& [id, other] : m_workers) {
+      for (const FakeRun& run : other->runs) {
+        if (run.task == order.task) {
+          is_alive = true;
+          violate(fmt::format("run {} of {} starts on {} while run {} is alive on {}", order.run,
+                              name_of(order.task), worker.entry.id, run.number, id));
         }
       }
     }
-    return false;
+    doubled += is_alive ? 1 : 0;
+  }
+
+  void violate(const std::string& text) {
+    violations.push_back(fmt::format("{} ms: {}", m_timer.wall_ms(), text));
   }
 
   void end_run(FakeWorker& worker, const jobs::TaskId& task, std::uint32_t number,
