Add a known failure: the first order of a start after its success

The leader does not keep a resent start in Worker::unanswered, so begin_incarnation sends no stop for it.

--- a/src/arbutusdale/sched/restarted_worker_known_red.cpp
+++ b/src/arbutusdale/sched/restarted_worker_known_red.cpp
@@ -53,6 +53,23 @@
   cr_assert_eq(fixture.fleet.doubled, 0U);
 }
 
+// Guards against a run of a task that is done: its start was sent again and answered, and the first
+// order is carried out by the next incarnation of the worker.
+Test(restarted_worker, may_carry_out_the_first_order_after_the_success_of_the_second) {
+  RestartFixture fixture;
+  fixture.fleet.work_of = [](const jobs::TaskId&) { return 500ms; };
+  fixture.worker.start_delay = 3s;
+  fixture.submit();
+  fixture.timer.advance(300ms);
+  fixture.worker.start_delay = 0s;
+  fixture.timer.advance(2s);
+  cr_assert(fixture.leader.state(1) == jobs::JobState::COMPLETED);
+  fixture.fleet.restart("w00");
+  fixture.set_state("w00", WorkerState::ready);
+  fixture.timer.advance(6s);
+  cr_assert_eq(fixture.fleet.started_after_done, 0U);
+}
+
 // Guards against a second run of a task whose start was answered by an incarnation that the leader
 // did not know of yet: the registration of that incarnation then says that the worker restarted.
 Test(restarted_worker, may_have_answered_a_start_before_its_registration_arrives) {
