Read replies that have arrived before a call counts as unanswered

Cause: libcurl's time limit counts from the time of the call and is checked before the data of a socket is read, in every socket action for all calls. The event loop handled 64 ready sockets a turn and then ran its timers. On a loop that gets too little processor time, answers that lay in the sockets came after the limit, and the extra orders and the new connections made the loop later.

Change: the client keeps its own time limits. They count from the time at which the request is sent, and take effect only after every socket that was ready at that time has been handled (EventLoop::call_after_reading). One wait reports all ready sockets; timers run after every 64 of them as before. A request is never sent later than a second after the call, and then counts as not run.

--- a/include/arbutusdale/net/event_loop.hpp
+++ b/include/arbutusdale/net/event_loop.hpp
@@ -25,6 +25,10 @@
   virtual void unwatch(int descriptor) = 0;
 
   virtual TimerId call_after(Duration delay, std::function<void()> action) = 0;
+  /// Like call_after(), but first handles every descriptor that was ready when the delay had
+  /// passed. For time limits of replies: one that has arrived in time is read before the limit
+  /// takes effect, however late the loop gets to it.
+  virtual TimerId call_after_reading(Duration delay, std::function<void()> action) = 0;
   virtual void cancel(TimerId timer) = 0;
   /// Calls `action` after the callbacks of the current iteration.
   virtual void defer(std::function<void()> action) = 0;
@@ -32,6 +36,8 @@
   /// Time since the machine booted, including the time while it was suspended. Read once per
   /// iteration.
   [[nodiscard]] virtual TimePoint now() const = 0;
+  /// The same time as now(), read at each call.
+  [[nodiscard]] virtual TimePoint read_clock() const = 0;
 
   virtual void run() = 0;
   /// Makes run() return after the current iteration.
--- a/include/arbutusdale/net/http_client.hpp
+++ b/include/arbutusdale/net/http_client.hpp
@@ -21,7 +21,9 @@
   std::string url;
   std::vector<std::string> headers;  // "Name: value"
   std::string body;                  // of a POST
-  Duration timeout{};                // from the call to the last byte of the response
+  /// Limit for the connection and, from the time at which the request is sent, for the whole
+  /// response. A request is never sent later than a second after the call.
+  Duration timeout{};
 };
 
 struct HttpReply {
--- a/src/arbutusdale/net/event_loop.cpp
+++ b/src/arbutusdale/net/event_loop.cpp
@@ -1,8 +1,9 @@
-// Event loop on epoll with an ordered map of timers.
+// Event loop on epoll with ordered maps of timers.
 #include "arbutusdale/net/event_loop.hpp"
 
-#include <array>
+#include <algorithm>
 #include <map>
+#include <optional>
 #include <system_error>
 #include <unordered_map>
 #include <utility>
@@ -15,7 +16,10 @@
 namespace arbutusdale::net {
 namespace {
 
-constexpr int k_max_events_per_iteration = 64;
+// More than a process has descriptors, so that one wait reports all that are ready.
+constexpr std::size_t k_max_events_per_wait = 8'192;
+// Timers also run between groups of events, so that many events do not delay them.
+constexpr std::size_t k_events_between_timers = 64;
 constexpr std::int64_t k_max_wait_ms = 1'000;
 
 TimePoint time_since_boot() {
@@ -25,9 +29,45 @@
                    std::chrono::duration_cast<Duration>(std::chrono::nanoseconds{time.tv_nsec})};
 }
 
+/// Actions by the time at which they are due.
+class TimerQueue {
+ public:
+  void add(TimePoint due, EventLoop::TimerId id, std::function<void()> action) {
+    m_actions.emplace(Key{due, id}, std::move(action));
+    m_due.emplace(id, due);
+  }
+  void cancel(EventLoop::TimerId id) {
+    const auto found = m_due.find(id);
+    if (found != m_due.end()) {
+      m_actions.erase({found->second, id});
+      m_due.erase(found);
+    }
+  }
+  /// Runs the actions that are due at `now`, also those added meanwhile.
+  void run(TimePoint now) {
+    while (!m_actions.empty() && m_actions.begin()->first.first <= now) {
+      auto node = m_actions.extract(m_actions.begin());
+      m_due.erase(node.key().second);
+      node.mapped()();
+    }
+  }
+  [[nodiscard]] std::optional<TimePoint> first_due() const {
+    return m_actions.empty() ? std::nullopt : std::optional(m_actions.begin()->first.first);
+  }
+
+ private:
+  using Key = std::pair<TimePoint, EventLoop::TimerId>;
+
+  std::map<Key, std::function<void()>> m_actions;
+  std::unordered_map<EventLoop::TimerId, TimePoint> m_due;  // has exactly the ids of m_actions
+};
+
 class EpollLoop final : public EventLoop {
  public:
-  EpollLoop() : m_epoll(::epoll_create1(EPOLL_CLOEXEC)), m_now(time_since_boot()) {
+  EpollLoop()
+      : m_epoll(::epoll_create1(EPOLL_CLOEXEC)),
+        m_now(time_since_boot()),
+        m_events(k_max_events_per_wait) {
     if (m_epoll < 0) {
       throw std::system_error(errno, std::generic_category(), "epoll_create1");
     }
@@ -37,27 +77,28 @@
   void watch(int descriptor, std::uint32_t events, ReadyHandler handler) override;
   void unwatch(int descriptor) override;
   TimerId call_after(Duration delay, std::function<void()> action) override;
+  TimerId call_after_reading(Duration delay, std::function<void()> action) override;
   void cancel(TimerId timer) override;
   void defer(std::function<void()> action) override { m_deferred.push_back(std::move(action)); }
   [[nodiscard]] TimePoint now() const override { return m_now; }
+  [[nodiscard]] TimePoint read_clock() const override { return time_since_boot(); }
   void run() override;
   void stop() override { m_stopping = true; }
 
  private:
-  using TimerKey = std::pair<TimePoint, TimerId>;
-
   [[nodiscard]] int wait_timeout_ms() const;
-  void run_timers();
+  void handle_events(std::size_t count);
   void run_deferred();
 
   int m_epoll;
-  TimePoint m_now;  // read once per iteration
+  TimePoint m_now;  // read after each wait and between groups of events
+  std::vector<epoll_event> m_events;
   bool m_stopping = false;
   TimerId m_last_timer = 0;
   // Shared, so that a handler may replace or remove itself while it runs.
   std::unordered_map<int, std::shared_ptr<ReadyHandler>> m_handlers;
-  std::map<TimerKey, std::function<void()>> m_timers;
-  std::unordered_map<TimerId, TimePoint> m_timer_deadlines;  // has exactly the keys of m_timers
+  TimerQueue m_timers;
+  TimerQueue m_timers_after_reading;
   std::vector<std::function<void()>> m_deferred;
 };
 
@@ -85,42 +126,44 @@
 }
 
 EventLoop::TimerId EpollLoop::call_after(Duration delay, std::function<void()> action) {
-  const TimerId id = ++m_last_timer;
-  const TimePoint deadline = m_now + delay;
-  m_timers.emplace(TimerKey{deadline, id}, std::move(action));
-  m_timer_deadlines.emplace(id, deadline);
-  return id;
+  m_timers.add(m_now + delay, ++m_last_timer, std::move(action));
+  return m_last_timer;
+}
+
+EventLoop::TimerId EpollLoop::call_after_reading(Duration delay, std::function<void()> action) {
+  m_timers_after_reading.add(m_now + delay, ++m_last_timer, std::move(action));
+  return m_last_timer;
 }
 
 void EpollLoop::cancel(TimerId timer) {
-  const auto found = m_timer_deadlines.find(timer);
-  if (found == m_timer_deadlines.end()) {
-    return;
-  }
-  m_timers.erase({found->second, timer});
-  m_timer_deadlines.erase(found);
+  m_timers.cancel(timer);
+  m_timers_after_reading.cancel(timer);
 }
 
 int EpollLoop::wait_timeout_ms() const {
   if (!m_deferred.empty()) {
     return 0;
   }
-  if (m_timers.empty()) {
-    return static_cast<int>(k_max_wait_ms);
-  }
-  const Duration remaining = m_timers.begin()->first.first - m_now;
-  if (remaining <= Duration::zero()) {
-    return 0;
-  }
-  const auto ms = std::chrono::ceil<std::chrono::milliseconds>(remaining).count();
-  return static_cast<int>(std::min(ms, k_max_wait_ms));
+  TimePoint until = m_now + std::chrono::milliseconds{k_max_wait_ms};
+  until = std::min(until, m_timers.first_due().value_or(until));
+  until = std::min(until, m_timers_after_reading.first_due().value_or(until));
+  const Duration remaining = std::max(until - m_now, Duration::zero());
+  return static_cast<int>(std::chrono::ceil<std::chrono::milliseconds>(remaining).count());
 }
 
-void EpollLoop::run_timers() {
-  while (!m_timers.empty() && m_timers.begin()->first.first <= m_now) {
-    auto node = m_timers.extract(m_timers.begin());
-    m_timer_deadlines.erase(node.key().second);
-    node.mapped()();
+void EpollLoop::handle_events(std::size_t count) {
+  for (std::size_t i = 0; i < count; ++i) {
+    if (i > 0 && i % k_events_between_timers == 0) {
+      m_now = time_since_boot();
+      m_timers.run(m_now);
+    }
+    const epoll_event event = m_events[i];
+    const auto found = m_handlers.find(event.data.fd);
+    if (found == m_handlers.end()) {
+      continue;
+    }
+    const std::shared_ptr<ReadyHandler> handler = found->second;
+    (*handler)(event.events);
   }
 }
 
@@ -133,21 +176,17 @@
 }
 
 void EpollLoop::run() {
-  std::array<epoll_event, k_max_events_per_iteration> events{};
+  TimePoint waited_at = m_now;
   while (!m_stopping) {
-    const int count =
-        ::epoll_wait(m_epoll, events.data(), k_max_events_per_iteration, wait_timeout_ms());
+    const int count = ::epoll_wait(m_epoll, m_events.data(), static_cast<int>(m_events.size()),
+                                   wait_timeout_ms());
+    // All that was ready after the previous wait is reported by this one.
+    const TimePoint read_until = waited_at;
     m_now = time_since_boot();
-    for (int i = 0; i < count; ++i) {
-      const epoll_event& event = events.at(static_cast<std::size_t>(i));
-      const auto found = m_handlers.find(event.data.fd);
-      if (found == m_handlers.end()) {
-        continue;
-      }
-      const std::shared_ptr<ReadyHandler> handler = found->second;
-      (*handler)(event.events);
-    }
-    run_timers();
+    waited_at = m_now;
+    handle_events(static_cast<std::size_t>(std::max(count, 0)));
+    m_timers.run(m_now);
+    m_timers_after_reading.run(read_until);
     run_deferred();
   }
 }
--- a/src/arbutusdale/net/http_client.cpp
+++ b/src/arbutusdale/net/http_client.cpp
@@ -1,6 +1,7 @@
 // HTTP client on libcurl's multi-socket interface, which processes only the sockets that are ready.
 #include "arbutusdale/net/http_client.hpp"
 
+#include <algorithm>
 #include <optional>
 #include <unordered_map>
 #include <utility>
@@ -13,17 +14,23 @@
 
 constexpr long k_max_cached_connections = 1'024;
 constexpr long k_max_connection_age_s = 60;
-constexpr long k_connect_timeout_ms = 1'000;
+constexpr Duration k_max_send_delay = std::chrono::seconds{1};
 constexpr std::size_t k_max_response_bytes = 8'388'608;
 constexpr std::size_t k_max_idle_handles = 64;
 
+class CurlClient;
+
 /// One call in progress. Its address is passed to the callbacks of its easy handle.
 struct ActiveCall {
+  CurlClient* client = nullptr;
+  CURL* easy = nullptr;
   HttpCall call;
   HttpClient::Done done;
   std::string response_body;
   curl_slist* headers = nullptr;
   bool request_started = false;  // a connection was ready and the request was about to be sent
+  TimePoint send_until{};        // the request is not sent later
+  std::optional<EventLoop::TimerId> time_limit;
 
   ActiveCall() = default;
   ActiveCall(const ActiveCall&) = delete;
@@ -41,13 +48,6 @@
   return bytes;
 }
 
-// Called on every connection, new or reused, before the request is sent.
-int on_prerequest(void* user, char* /*remote_ip*/, char* /*local_ip*/, int /*remote_port*/,
-                  int /*local_port*/) {
-  static_cast<ActiveCall*>(user)->request_started = true;
-  return CURL_PREREQFUNC_OK;
-}
-
 template <typename Value>
 void set_option(CURL* easy, CURLoption option, Value value) {
   (void)curl_easy_setopt(easy, option, value);
@@ -74,11 +74,16 @@
  private:
   static int on_socket(CURL* easy, curl_socket_t socket, int what, void* user, void* socket_data);
   static int on_timer(CURLM* multi, long timeout_ms, void* user);
+  static int on_prerequest(void* user, char* remote_ip, char* local_ip, int remote_port,
+                           int local_port);
 
   CURL* acquire_handle();
   void configure(CURL* easy, ActiveCall& active);
   void handle_socket_action(curl_socket_t socket, int events);
   void finish_completed_calls();
+  void finish(CURL* easy, CURLcode code);
+  /// Ends the call with a timeout after `limit`, counted from the present moment.
+  void set_time_limit(ActiveCall& active, Duration limit);
   static Result<HttpReply> make_result(CURL* easy, ActiveCall& active, CURLcode code);
 
   EventLoop& m_loop;
@@ -90,6 +95,7 @@
 
 CurlClient::~CurlClient() {
   for (auto& [easy, active] : m_active) {
+    m_loop.cancel(*active->time_limit);
     curl_multi_remove_handle(m_multi, easy);
     curl_easy_cleanup(easy);
   }
@@ -107,11 +113,42 @@
   active->call = std::move(call);
   active->done = std::move(done);
   CURL* easy = acquire_handle();
+  active->client = this;
+  active->easy = easy;
+  active->send_until = m_loop.read_clock() + k_max_send_delay;
+  set_time_limit(*active, std::min(active->call.timeout, k_max_send_delay));
   configure(easy, *active);
   m_active.emplace(easy, std::move(active));
   curl_multi_add_handle(m_multi, easy);
 }
 
+// libcurl's own time limits are not used: they end a call before data that has already arrived is
+// read, and they count the time before the request is sent.
+void CurlClient::set_time_limit(ActiveCall& active, Duration limit) {
+  if (active.time_limit) {
+    m_loop.cancel(*active.time_limit);
+  }
+  const Duration since_iteration = m_loop.read_clock() - m_loop.now();
+  active.time_limit = m_loop.call_after_reading(
+      since_iteration + limit,
+      [this, easy = active.easy] { finish(easy, CURLE_OPERATION_TIMEDOUT); });
+}
+
+// Called on every connection, new or reused, before the request is sent.
+int CurlClient::on_prerequest(void* user, char* /*remote_ip*/, char* /*local_ip*/,
+                              int /*remote_port*/, int /*local_port*/) {
+  auto& active = *static_cast<ActiveCall*>(user);
+  if (active.request_started) {
+    return CURL_PREREQFUNC_OK;
+  }
+  if (active.client->m_loop.read_clock() > active.send_until) {
+    return CURL_PREREQFUNC_ABORT;
+  }
+  active.request_started = true;
+  active.client->set_time_limit(active, active.call.timeout);
+  return CURL_PREREQFUNC_OK;
+}
+
 CURL* CurlClient::acquire_handle() {
   if (m_idle_handles.empty()) {
     return curl_easy_init();
@@ -124,7 +161,6 @@
 
 void CurlClient::configure(CURL* easy, ActiveCall& active) {
   const HttpCall& call = active.call;
-  const auto timeout = std::chrono::duration_cast<std::chrono::milliseconds>(call.timeout);
   active.headers = curl_slist_append(active.headers, "Expect:");
   for (const std::string& header : call.headers) {
     active.headers = curl_slist_append(active.headers, header.c_str());
@@ -133,12 +169,10 @@
   set_option(easy, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
   set_option(easy, CURLOPT_PROXY, "");
   set_option(easy, CURLOPT_NOSIGNAL, 1L);
-  set_option(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(timeout.count()));
-  set_option(easy, CURLOPT_CONNECTTIMEOUT_MS, k_connect_timeout_ms);
   set_option(easy, CURLOPT_MAXLIFETIME_CONN, k_max_connection_age_s);
   set_option(easy, CURLOPT_WRITEFUNCTION, &on_body);
   set_option(easy, CURLOPT_WRITEDATA, &active);
-  set_option(easy, CURLOPT_PREREQFUNCTION, &on_prerequest);
+  set_option(easy, CURLOPT_PREREQFUNCTION, &CurlClient::on_prerequest);
   set_option(easy, CURLOPT_PREREQDATA, &active);
   set_option(easy, CURLOPT_HTTPHEADER, active.headers);
   if (call.method == HttpMethod::post) {
@@ -206,23 +240,26 @@
     if (message->msg != CURLMSG_DONE) {
       continue;
     }
-    CURL* easy = message->easy_handle;
-    const CURLcode code = message->data.result;
-    const auto found = m_active.find(easy);
-    if (found == m_active.end()) {
-      continue;
-    }
-    const auto active = std::move(found->second);
-    m_active.erase(found);
-    Result<HttpReply> result = make_result(easy, *active, code);
-    curl_multi_remove_handle(m_multi, easy);
-    if (m_idle_handles.size() < k_max_idle_handles) {
-      m_idle_handles.push_back(easy);
-    } else {
-      curl_easy_cleanup(easy);
-    }
-    active->done(std::move(result));
+    finish(message->easy_handle, message->data.result);
+  }
+}
+
+void CurlClient::finish(CURL* easy, CURLcode code) {
+  const auto found = m_active.find(easy);
+  if (found == m_active.end()) {
+    return;
+  }
+  const auto active = std::move(found->second);
+  m_active.erase(found);
+  m_loop.cancel(*active->time_limit);
+  Result<HttpReply> result = make_result(easy, *active, code);
+  curl_multi_remove_handle(m_multi, easy);
+  if (m_idle_handles.size() < k_max_idle_handles) {
+    m_idle_handles.push_back(easy);
+  } else {
+    curl_easy_cleanup(easy);
   }
+  active->done(std::move(result));
 }
 
 Result<HttpReply> CurlClient::make_result(CURL* easy, ActiveCall& active, CURLcode code) {
@@ -232,7 +269,8 @@
     return HttpReply{static_cast<int>(status), std::move(active.response_body)};
   }
   const std::string text = active.call.url + ": " + curl_easy_strerror(code);
-  const bool timed_out = code == CURLE_OPERATION_TIMEDOUT;
+  // on_prerequest() aborts a request that would be sent too late.
+  const bool timed_out = code == CURLE_OPERATION_TIMEDOUT || code == CURLE_ABORTED_BY_CALLBACK;
   if (!active.request_started) {
     return not_run(timed_out ? ErrorCode::deadline_exceeded : ErrorCode::unavailable, text);
   }
