Limit the starts in flight to what gets answers

A leader that cannot handle the answers to 64 starts within their time limit stopped the runs and ordered them again, at the same rate, for as long as it led.

Cause: the limit of 64 starts in flight was fixed, whatever became of them.

Change: StartWindow, a module without I/O, halves the limit when a start gets no answer (once for starts sent together), and raises it by one after as many answers as it has places, if they come within half the time limit; between 8 and 64. Other work stays in the queue.

Evidence: scale/a_slow_leader_lets_work_wait_that_it_cannot_carry, a leader that takes 10 ms for each answer, 350 workers, 840 tasks, 14 s.

--- a/include/arbutusdale/sched/scheduler.hpp
+++ b/include/arbutusdale/sched/scheduler.hpp
@@ -14,6 +14,7 @@
 #include "arbutusdale/sched/placement_round.hpp"
 #include "arbutusdale/sched/ready_queue.hpp"
 #include "arbutusdale/sched/serving_affinity.hpp"
+#include "arbutusdale/sched/start_window.hpp"
 #include "arbutusdale/sched/task_table.hpp"
 #include "arbutusdale/sched/ticket_cache.hpp"
 #include "arbutusdale/sched/worker_directory.hpp"
@@ -206,6 +207,7 @@
   bool m_place_due = false;
   bool m_round_scheduled = false;
   std::size_t m_starts_in_flight = 0;
+  StartWindow m_start_window;
   bool m_advice_in_flight = false;  // the service takes one call at a time
   TimePoint m_placed_at{};          // last placement round
   TimePoint m_batch_placed_at{};    // last round with opportunistic tasks
--- a/src/arbutusdale/sched/scale_test.cpp
+++ b/src/arbutusdale/sched/scale_test.cpp
@@ -1,7 +1,9 @@
 // Simulated large fleets under load: how the cost of placement grows with the number of workers.
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <utility>
 
 #include "sched_fixture_test.hpp"
 #include <criterion/criterion.h>
@@ -78,6 +80,54 @@
          static_cast<double>(fixture.fleet.starts - starts_before);
 }
 
+/// A leader's process that gets little processor time: it takes `k_answer_time` to handle the
+/// answer to a start, one after the other, and does not see answers that it has not handled in
+/// time.
+class SlowProcess final : public WorkerOrders {
+ public:
+  SlowProcess(FakeFleet& fleet, store::FakeTimer& timer) : m_fleet(fleet), m_timer(timer) {}
+
+  std::size_t starts = 0;
+  std::size_t unanswered = 0;
+  std::size_t stops = 0;
+
+  void poll(const WorkerEndpoint& to, const PollOrder& order, PollDone done) override {
+    m_fleet.poll(to, order, std::move(done));
+  }
+  void start(const WorkerEndpoint& to, const StartOrder& order, Done done) override {
+    ++starts;
+    const TimePoint limit = m_timer.now() + k_start_limit;
+    m_fleet.start(to, order, [this, limit, done = std::move(done)](const auto& reply) {
+      m_busy_until = std::max(m_busy_until, m_timer.now()) + k_answer_time;
+      const bool late = m_busy_until > limit;
+      unanswered += late ? 1 : 0;
+      const TimePoint handled_at = late ? limit : m_busy_until;
+      m_timer.call_after(handled_at - m_timer.now(), [late, reply, done] {
+        if (late) {
+          done(tl::unexpected(OrderError{OrderFailure::unknown, std::nullopt, "no answer"}));
+        } else {
+          done(reply);
+        }
+      });
+    });
+  }
+  void stop(const WorkerEndpoint& to, const RunOrder& order, Done done) override {
+    ++stops;
+    m_fleet.stop(to, order, std::move(done));
+  }
+  void throttle(const WorkerEndpoint& to, const ThrottleOrder& order, Done done) override {
+    m_fleet.throttle(to, order, std::move(done));
+  }
+
+ private:
+  static constexpr Duration k_answer_time = 10ms;
+  static constexpr Duration k_start_limit = 300ms;
+
+  FakeFleet& m_fleet;
+  store::FakeTimer& m_timer;
+  TimePoint m_busy_until{};
+};
+
 }  // namespace
 
 // Guards against a leader whose processor time per start grows with the fleet: with ten times the
@@ -104,3 +154,22 @@
   cr_assert_eq(fixture.fleet.running(), 110U * 14U);
   cr_assert_leq(fixture.fleet.most_starts_in_flight, 100U);
 }
+
+// Guards against a leader that orders more starts than it can handle the answers of, all leases
+// having expired: most starts count as unanswered, and their runs are stopped and ordered again.
+Test(scale, a_slow_leader_lets_work_wait_that_it_cannot_carry) {
+  FleetFixture fixture(350, k_worker_cpu_millis);
+  fixture.fleet.work_of = work_of;
+  SlowProcess process(fixture.fleet, fixture.timer);
+  LeaderFixture leader(fixture.timer, fixture.fleet, fixture.log, 1, true, &process);
+  fixture.timer.advance(200ms);
+  for (std::uint32_t i = 1; i <= 60; ++i) {
+    leader.submit(serving_job(i));
+  }
+  fixture.timer.advance(14s);
+  cr_log_info("%zu starts, %zu unanswered, %zu stops, %zu run", process.starts, process.unanswered,
+              process.stops, fixture.fleet.running());
+  cr_assert_leq(process.stops, process.starts / 10, "%zu stops of %zu starts", process.stops,
+                process.starts);
+  cr_assert_eq(fixture.fleet.running(), 60U * 14U);
+}
--- a/src/arbutusdale/sched/sched_fixture_test.hpp
+++ b/src/arbutusdale/sched/sched_fixture_test.hpp
@@ -70,11 +70,11 @@
   std::unique_ptr<Scheduler> scheduler;
 
   LeaderFixture(store::FakeTimer& timer_in, FakeFleet& fleet_in, FakeProgressLog& log_in,
-                std::uint32_t term = 1, bool jobs_caught_up = true)
+                std::uint32_t term = 1, bool jobs_caught_up = true, WorkerOrders* orders = nullptr)
       : timer(timer_in), fleet(fleet_in), log(log_in), term_log(log_in, term) {
     scheduler =
-        std::make_unique<Scheduler>(fleet, fleet.advisor, term_log, timer,
-                                    SchedulerOptions{term, term}, [this] { fenced = true; });
+        std::make_unique<Scheduler>(orders == nullptr ? fleet : *orders, fleet.advisor, term_log,
+                                    timer, SchedulerOptions{term, term}, [this] { fenced = true; });
     scheduler->take_over(log.jobs);
     for (const auto& [id, worker] : fleet.all()) {
       scheduler->on_worker_updated(worker->entry);
--- a/src/arbutusdale/sched/scheduler_orders.cpp
+++ b/src/arbutusdale/sched/scheduler_orders.cpp
@@ -89,7 +89,11 @@
                  [this, alive = m_alive, id = order.task, number = run.number, endpoint,
                   sent](const tl::expected<OrderReply, OrderError>& reply) {
                    if (*alive) {
+                     const bool lost = !reply && reply.error().reason == OrderFailure::unknown;
                      release_start_slot();
+                     m_start_window.on_result(
+                         lost ? StartResult::unanswered : StartResult::answered, sent,
+                         m_timer.now());
                      observe::record_timing(observe::Timing::start_call, m_timer.now() - sent);
                      on_start_reply(id, number, endpoint, reply);
                      process_pending();
--- a/src/arbutusdale/sched/scheduler_placement.cpp
+++ b/src/arbutusdale/sched/scheduler_placement.cpp
@@ -16,9 +16,6 @@
 constexpr Duration k_starvation_timeout = std::chrono::milliseconds{1'500};
 // The fleet counts as idle while less than this share of its processors is committed.
 constexpr double k_idle_fleet_share = 0.6;
-// More concurrent starts would queue in the leader's own process until they time out, and would
-// then be stopped and sent again. Answers take 1 to 15 ms, so the window allows thousands a second.
-constexpr std::size_t k_max_starts_in_flight = 64;
 // Placement waits at most this long, which is short against the objectives of urgent jobs.
 constexpr Duration k_round_interval = std::chrono::milliseconds{15};
 constexpr Duration k_batch_round_interval = std::chrono::milliseconds{50};
@@ -71,7 +68,7 @@
   // By opportunistic image: smallest need for which this round has found no worker.
   std::unordered_map<ImageId, std::uint64_t> unplaced_cpu;
   m_ready.for_each([&](Task& task) {
-    if (m_starts_in_flight >= k_max_starts_in_flight) {
+    if (m_starts_in_flight >= m_start_window.size()) {
       return false;  // an answer starts the next round
     }
     Step& step = *task.step;
@@ -197,7 +194,7 @@
 }
 
 void Scheduler::release_start_slot() {
-  m_place_due = m_place_due || m_starts_in_flight >= k_max_starts_in_flight;
+  m_place_due = m_place_due || m_starts_in_flight >= m_start_window.size();
   --m_starts_in_flight;
 }
 
