Let weak daemons leave the leadership to stronger ones

Change: - A daemon that accepts a submission stores a presence record (name, share of a core) in the same append, at most every two seconds (jobs/daemon_presence). StrongerDaemons tells from these whether a daemon with 1.5 times the share has reached the store in the last 5 s (in touch) or existed in the last 60 s. - LoopLag measures how late the tick runs, smoothed. HandoverPolicy: a leader hands over through Leader::release after a second of lag, or after 5 s without lag, while a stronger daemon is in touch; at most every 30 s, the interval doubling up to 240 s. - A daemon that knows of stronger ones does not claim at once after its own restart. It waits 1 s longer after a release while a stronger one is in touch, and 0.2 s longer after the election timeout, since the stronger ones may have ended together with the leader. Without presence records nothing changes.

Other ways to know of stronger daemons: a longer claim delay by share alone would slow down fleets of weak daemons; a record refreshed by a timer costs calls of its own and wakes the long polls of all daemons; a handover target in the leader's record is a guess about one daemon, where any stronger one may claim. Submissions are stored anyway, so presence costs no call; a fleet without submissions knows nothing of shares, and there a weak leader has little to do.

Safety: claims stay conditional appends; a handover is the release of a planned shutdown, after which the leader sends no orders.

--- a/include/arbutusdale/fleet/job_service.hpp
+++ b/include/arbutusdale/fleet/job_service.hpp
@@ -29,10 +29,11 @@
  public:
   using Done = std::function<void(WriteOutcome)>;
 
-  /// `incarnation` is unique among all processes that ever wrote to the store.
+  /// `incarnation` is unique among all processes that ever wrote to the store. `cpu_share` is the
+  /// fraction of a core that this daemon may use.
   JobService(store::MetadataStore& store, Timer& timer, const jobs::JobTable& jobs,
              const JobFollowers& followers, const std::string& daemon,
-             const std::string& incarnation);
+             const std::string& incarnation, double cpu_share);
 
   /// Stores a job; a job that is already known counts as stored.
   void submit(const jobs::JobId& id, const jobs::JobSubmitted& record, TimePoint deadline,
@@ -53,12 +54,17 @@
   void tick();
 
  private:
+  /// The daemon's presence record, if the last one was written some time ago.
+  [[nodiscard]] std::optional<store::KeyedValue> due_presence();
   void write(std::vector<store::KeyedValue> entries, TimePoint deadline, Done done);
 
   Timer& m_timer;
   const jobs::JobTable& m_jobs;
   const JobFollowers& m_followers;
   std::vector<std::unique_ptr<store::GroupCommit>> m_writers;  // one for each job partition
+  const std::string m_daemon;
+  const std::uint32_t m_cpu_millis;
+  std::optional<TimePoint> m_presence_written_at;
   std::size_t m_own_partition;  // index of the writer for submissions and cancellations
 };
 
--- a/include/arbutusdale/fleet/leader_election.hpp
+++ b/include/arbutusdale/fleet/leader_election.hpp
@@ -27,6 +27,10 @@
   bool loaded = false;
   std::optional<TimePoint> fresh_as_of;
   Duration read_latency{};
+  /// Daemons with much more processor time than this one have reached the store just now, or have
+  /// existed a short time ago.
+  bool stronger_in_touch = false;
+  bool stronger_known = false;
 };
 
 class LeaderElection {
@@ -36,11 +40,15 @@
 
   /// A record of a leader has arrived, or this daemon has stepped down.
   void on_leader_activity(TimePoint now) { m_last_activity = now; }
-  /// No daemon leads: there is no leadership record, or the newest one releases the leadership or
-  /// is from an earlier incarnation of this daemon.
+  /// No daemon leads: there is no leadership record, or the newest one releases the leadership.
   void on_leadership_vacant(TimePoint now);
+  /// The newest leadership record is from an earlier incarnation of this daemon, which has ended.
+  void on_earlier_incarnation_led(TimePoint now);
   /// A daemon leads: the newest leadership record names it, or this daemon's claim has succeeded.
-  void on_leadership_held() { m_vacant_since.reset(); }
+  void on_leadership_held() {
+    m_vacant_since.reset();
+    m_earlier_incarnation_led = false;
+  }
   /// A claim has failed; another daemon may have claimed first.
   void on_claim_refused(TimePoint now) { m_last_activity = now; }
 
@@ -50,6 +58,8 @@
   /// Differs between daemons and is shorter on those with more processor time.
   Duration m_claim_delay;
   std::optional<TimePoint> m_vacant_since;
+  /// Only this daemon knows of the vacancy; the others wait for the election timeout.
+  bool m_earlier_incarnation_led = false;
   std::optional<TimePoint> m_last_activity;
 };
 
--- a/include/arbutusdale/fleet/node.hpp
+++ b/include/arbutusdale/fleet/node.hpp
@@ -2,10 +2,13 @@
 #pragma once
 
 #include "arbutusdale/core/timer.hpp"
+#include "arbutusdale/fleet/handover_policy.hpp"
 #include "arbutusdale/fleet/job_followers.hpp"
 #include "arbutusdale/fleet/job_service.hpp"
 #include "arbutusdale/fleet/leader.hpp"
 #include "arbutusdale/fleet/leader_election.hpp"
+#include "arbutusdale/fleet/loop_lag.hpp"
+#include "arbutusdale/fleet/stronger_daemons.hpp"
 #include "arbutusdale/jobs/configuration.hpp"
 #include "arbutusdale/jobs/job_table.hpp"
 #include "arbutusdale/store/partition_follower.hpp"
@@ -64,6 +67,7 @@
   class JobRecords;
   class LeaderRecords;
 
+  void on_job_record(const store::Record& record);
   void on_jobs_caught_up();
   void on_leader_record(const store::Record& record);
   void send_claim();
@@ -72,6 +76,7 @@
   void become_leader_if_claim_stored();
   void become_leader(LeadershipClaim claim);
   void step_down(const char* reason);
+  void hand_over_if_overloaded();
   void delete_expired_jobs();
 
   NodeDependencies m_deps;
@@ -83,12 +88,17 @@
   store::PartitionFollower m_leader_follower;
   JobService m_service;
   LeaderElection m_election;
+  StrongerDaemons m_stronger;
+  LoopLag m_lag;
+  HandoverPolicy m_handover;
   std::unique_ptr<Leader> m_leader;
   /// Sent and without a reply yet, or without one in time, so that its outcome is unknown.
   std::optional<LeadershipClaim> m_pending_claim;
   bool m_claim_in_flight = false;
   TimePoint m_next_deletion{};
   bool m_leadership_lost = false;  // the node steps down in the next tick
+  bool m_handing_over = false;
+  bool m_handed_over = false;  // the release has ended; the node steps down in the next tick
   bool m_stopping = false;
   std::shared_ptr<bool> m_alive;
 };
--- a/src/arbutusdale/fleet/job_service.cpp
+++ b/src/arbutusdale/fleet/job_service.cpp
@@ -1,6 +1,8 @@
 // Durable writes for callers, and the check that the job table is recent.
 #include "arbutusdale/fleet/job_service.hpp"
 
+#include "arbutusdale/jobs/daemon_presence.hpp"
+
 #include <utility>
 
 namespace arbutusdale::fleet {
@@ -12,6 +14,8 @@
 // not reply.
 constexpr store::FailFastPolicy k_fail_fast{std::chrono::milliseconds{250},
                                             std::chrono::milliseconds{800}};
+constexpr Duration k_presence_interval = std::chrono::seconds{2};
+constexpr double k_millis = 1'000;
 // Reads wait up to a second for a record, so a job table older than this means that they fail.
 constexpr Duration k_max_staleness = std::chrono::milliseconds{2'500};
 
@@ -19,10 +23,12 @@
 
 JobService::JobService(store::MetadataStore& store, Timer& timer, const jobs::JobTable& jobs,
                        const JobFollowers& followers, const std::string& daemon,
-                       const std::string& incarnation)
+                       const std::string& incarnation, double cpu_share)
     : m_timer(timer),
       m_jobs(jobs),
       m_followers(followers),
+      m_daemon(daemon),
+      m_cpu_millis(static_cast<std::uint32_t>(cpu_share * k_millis)),
       m_own_partition(jobs::job_partition_of(daemon)) {
   for (const store::Partition& partition : jobs::job_partitions()) {
     m_writers.push_back(std::make_unique<store::GroupCommit>(
@@ -43,7 +49,20 @@
     done(WriteOutcome::stored);
     return;
   }
-  write({jobs::encode(record)}, deadline, std::move(done));
+  std::vector<store::KeyedValue> entries{jobs::encode(record)};
+  if (auto presence = due_presence()) {
+    entries.push_back(std::move(*presence));
+  }
+  write(std::move(entries), deadline, std::move(done));
+}
+
+std::optional<store::KeyedValue> JobService::due_presence() {
+  const TimePoint now = m_timer.now();
+  if (m_presence_written_at && now - *m_presence_written_at < k_presence_interval) {
+    return std::nullopt;
+  }
+  m_presence_written_at = now;
+  return jobs::encode(jobs::DaemonPresence{m_daemon, m_cpu_millis, m_timer.wall_ms()});
 }
 
 void JobService::cancel(const jobs::JobId& id, TimePoint deadline, Done done) {
--- a/src/arbutusdale/fleet/leader_election.cpp
+++ b/src/arbutusdale/fleet/leader_election.cpp
@@ -14,6 +14,11 @@
 // the leadership goes to a daemon with enough processor time for its work.
 constexpr double k_one_core_delay_ms = 15;
 constexpr double k_min_cpu_share = 0.05;
+// A weak daemon lets stronger ones claim first. After a release they read the record and claim
+// within some tenths of a second, also while the store is slow. After the election timeout the
+// delay is short, since the stronger daemons may have ended together with the leader.
+constexpr Duration k_vacancy_deference = std::chrono::milliseconds{1'000};
+constexpr Duration k_timeout_deference = std::chrono::milliseconds{200};
 // A claim needs a view of the partition that is at most this old, including the wait of reads.
 constexpr Duration k_max_staleness = std::chrono::milliseconds{1'500};
 
@@ -29,8 +34,16 @@
     : m_claim_delay(claim_delay(daemon, cpu_share)) {}
 
 void LeaderElection::on_leadership_vacant(TimePoint now) {
+  if (!m_vacant_since || m_earlier_incarnation_led) {
+    m_vacant_since = now;
+  }
+  m_earlier_incarnation_led = false;
+}
+
+void LeaderElection::on_earlier_incarnation_led(TimePoint now) {
   if (!m_vacant_since) {
     m_vacant_since = now;
+    m_earlier_incarnation_led = true;
   }
 }
 
@@ -41,10 +54,13 @@
   if (now - *state.fresh_as_of > k_max_staleness + 2 * state.read_latency) {
     return false;
   }
-  if (m_vacant_since) {
-    return now - *m_vacant_since >= m_claim_delay;
+  const bool leaves_claim_to_others = m_earlier_incarnation_led && state.stronger_known;
+  if (m_vacant_since && !leaves_claim_to_others) {
+    const Duration deference = state.stronger_in_touch ? k_vacancy_deference : Duration::zero();
+    return now - *m_vacant_since >= m_claim_delay + deference;
   }
-  const Duration timeout = k_election_timeout + 2 * state.read_latency + m_claim_delay;
+  const Duration deference = state.stronger_known ? k_timeout_deference : Duration::zero();
+  const Duration timeout = k_election_timeout + 2 * state.read_latency + m_claim_delay + deference;
   return !m_last_activity || now - *m_last_activity >= timeout;
 }
 
--- a/src/arbutusdale/fleet/node.cpp
+++ b/src/arbutusdale/fleet/node.cpp
@@ -2,6 +2,7 @@
 #include "arbutusdale/fleet/node.hpp"
 
 #include "arbutusdale/core/hash.hpp"
+#include "arbutusdale/jobs/daemon_presence.hpp"
 #include "arbutusdale/observe/event_log.hpp"
 #include "arbutusdale/observe/process_metrics.hpp"
 
@@ -34,7 +35,7 @@
 class Node::JobRecords final : public store::PartitionListener {
  public:
   explicit JobRecords(Node& node) : m_node(node) {}
-  void on_record(const store::Record& record) override { m_node.m_jobs.apply_job_record(record); }
+  void on_record(const store::Record& record) override { m_node.on_job_record(record); }
   void on_caught_up() override { m_node.on_jobs_caught_up(); }
 
  private:
@@ -59,8 +60,9 @@
                         {jobs::leader_partition(), k_leader_read_wait_ms, k_leader_read_delay},
                         *m_leader_records),
       m_service(m_deps.store, m_deps.timer, m_jobs, m_job_followers, m_deps.daemon,
-                m_deps.incarnation),
+                m_deps.incarnation, m_deps.cpu_share),
       m_election(m_deps.daemon, m_deps.cpu_share),
+      m_stronger(m_deps.cpu_share),
       m_alive(std::make_shared<bool>(true)) {}
 
 Node::~Node() {
@@ -94,6 +96,23 @@
   return stats;
 }
 
+void Node::on_job_record(const store::Record& record) {
+  if (!jobs::is_daemon_presence(record)) {
+    m_jobs.apply_job_record(record);
+    return;
+  }
+  const auto presence = jobs::decode_daemon_presence(record);
+  if (!presence) {
+    return;
+  }
+  const TimePoint now = m_deps.timer.now();
+  if (m_job_followers.fresh_as_of()) {
+    m_stronger.on_presence(*presence, now);
+  } else {
+    m_stronger.on_stored_presence(*presence, m_deps.timer.wall_ms(), now);
+  }
+}
+
 void Node::on_leader_record(const store::Record& record) {
   m_jobs.apply_leader_record(record);
   const TimePoint now = m_deps.timer.now();
@@ -105,8 +124,10 @@
   // An earlier incarnation of this daemon has ended.
   const bool earlier_incarnation =
       leadership->daemon_name() == m_deps.daemon && leadership->daemon() != m_deps.incarnation;
-  if (leadership->released() || earlier_incarnation) {
+  if (leadership->released()) {
     m_election.on_leadership_vacant(now);
+  } else if (earlier_incarnation) {
+    m_election.on_earlier_incarnation_led(now);
   } else {
     m_election.on_leadership_held();
   }
@@ -135,11 +156,16 @@
 
 void Node::tick() {
   m_service.tick();
+  m_lag.on_tick(m_deps.timer.now());
   if (std::exchange(m_leadership_lost, false) && m_leader) {
     step_down("another daemon leads");
   }
+  if (std::exchange(m_handed_over, false) && m_leader) {
+    step_down("a stronger daemon takes over");
+  }
   if (m_leader) {
     m_leader->tick();
+    hand_over_if_overloaded();
     if (m_deps.timer.now() >= m_next_deletion) {
       m_next_deletion = m_deps.timer.now() + k_deletion_interval;
       delete_expired_jobs();
@@ -150,13 +176,36 @@
     m_election.on_leadership_vacant(m_deps.timer.now());
   }
   const FollowerState state{m_leader_follower.is_loaded(), m_leader_follower.fresh_as_of(),
-                            m_leader_follower.read_latency()};
+                            m_leader_follower.read_latency(),
+                            m_stronger.are_in_touch(m_deps.timer.now()),
+                            m_stronger.are_known(m_deps.timer.now())};
   const bool allowed = !m_claim_in_flight && !m_stopping && m_service.is_job_table_current();
   if (allowed && m_election.should_claim(m_deps.timer.now(), state)) {
     send_claim();
   }
 }
 
+// A leader that is too slow for the fleet would keep the leadership, since it still sends
+// heartbeats.
+void Node::hand_over_if_overloaded() {
+  const TimePoint now = m_deps.timer.now();
+  const LeaderLoad load{m_stronger.are_in_touch(now), m_lag.lagging_since()};
+  if (m_handing_over || m_stopping || !m_handover.should_hand_over(now, load)) {
+    return;
+  }
+  m_handing_over = true;
+  EventLine(Event::leadership_released)
+      .add("term", m_leader->claim().term)
+      .add("reason", "a stronger daemon is in touch")
+      .add_ms("lag_ms", m_lag.lag())
+      .write();
+  m_leader->release([this, alive = m_alive] {
+    if (*alive) {
+      m_handed_over = true;
+    }
+  });
+}
+
 // Keeps the store and the daemons' memory from growing with every job ever submitted.
 void Node::delete_expired_jobs() {
   const std::uint64_t now_ms = m_deps.timer.wall_ms();
@@ -267,13 +316,16 @@
       .write();
   m_jobs.set_listener(nullptr);
   m_leader.reset();
+  m_handing_over = false;
+  m_handed_over = false;
+  m_handover.on_leadership_lost();
   m_job_followers.set_read_delay(k_read_delay);
   m_election.on_leader_activity(m_deps.timer.now());
 }
 
 void Node::shut_down(std::function<void()> done) {
   m_stopping = true;
-  if (!m_leader) {
+  if (!m_leader || m_handing_over) {
     done();
     return;
   }
