--- a/src/arbutusdale/fleet/cluster_test.hpp
+++ b/src/arbutusdale/fleet/cluster_test.hpp
@@ -293,14 +293,14 @@
   std::unique_ptr<Node> node;
 
   Daemon(store::FakeStore& fake, store::FakeTimer& timer, sched::FakeFleet& fleet, std::string name,
-         const DirectoryFactory& directory)
+         const DirectoryFactory& directory, double cpu_share)
       : process(timer), store(fake, timer, process), orders(fleet, timer, process) {
     node = std::make_unique<Node>(
         NodeDependencies{store, orders, fleet.advisor, process,
                          [this, directory](sched::WorkerListener& listener) {
                            return directory(store, process, listener);
                          },
-                         name, name + "." + std::to_string(timer.wall_ms())});
+                         name, name + "." + std::to_string(timer.wall_ms()), cpu_share});
     jobs::Configuration configuration;
     configuration.version = 1;
     node->configuration().apply(configuration);
@@ -328,6 +328,8 @@
   DirectoryFactory directory;
   // Ended daemons stay, since orders and calls of theirs may still be under way.
   std::vector<std::unique_ptr<Daemon>> daemons;
+  std::vector<std::unique_ptr<Daemon>> ended;  // processes that have been replaced
+  std::vector<double> shares;                  // of a core, by daemon
 
   /// Without `make_directory`, the directories report all workers once.
   explicit Cluster(int count = 3, DirectoryFactory make_directory = {}, int workers = 4)
@@ -348,9 +350,16 @@
       add();
     }
   }
-  void add() { add("daemon" + std::to_string(daemons.size())); }
-  void add(const std::string& name) {
-    daemons.push_back(std::make_unique<Daemon>(store, timer, fleet, name, directory));
+  void add(double cpu_share = 1) { add(name_of(daemons.size()), cpu_share); }
+  void add(const std::string& name, double cpu_share = 1) {
+    shares.push_back(cpu_share);
+    daemons.push_back(std::make_unique<Daemon>(store, timer, fleet, name, directory, cpu_share));
+  }
+  /// Starts a new process of a daemon that has been killed.
+  void restart(std::size_t daemon) {
+    ended.push_back(std::move(daemons[daemon]));
+    daemons[daemon] = std::make_unique<Daemon>(store, timer, fleet, name_of(daemon), directory,
+                                               shares[daemon]);
   }
   [[nodiscard]] int leaders() const {
     int count = 0;
@@ -385,6 +394,8 @@
   std::vector<WriteOutcome> outcomes;
 
  private:
+  static std::string name_of(std::size_t daemon) { return "daemon" + std::to_string(daemon); }
+
   /// Writes the events of all daemons to the standard error output.
   void write_events() {
     constexpr std::size_t k_unlimited = 1'000'000;
