Send a start at most once for each order

A caller could see a task run twice. When a reused connection closes before the first byte of the response, libcurl sends the request again on a new connection without a word. The leader knew of one order where two were under way: a refusal of the second counted as proof that nothing runs, and a worker that restarts could carry out the first one later.

--- a/include/arbutusdale/net/http_client.hpp
+++ b/include/arbutusdale/net/http_client.hpp
@@ -24,6 +24,9 @@
   /// Limit for the connection and, from the time at which the request is sent, for the whole
   /// response. A request is never sent later than a second after the call.
   Duration timeout{};
+  /// When a reused connection closes before the first byte of the response, libcurl sends the
+  /// request again on a new one. Otherwise the call ends with an error.
+  bool is_repeatable = true;
 };
 
 struct HttpReply {
@@ -33,8 +36,7 @@
 
 /// Runs calls and reports the result of each exactly once, on the loop. Any complete response is an
 /// HttpReply, whatever its status. An error is `not_run` when no connection was established, else
-/// `may_have_run`. libcurl retries a call on a reused connection that was closed before the first
-/// byte of the response, so calls must be idempotent.
+/// `may_have_run`.
 class HttpClient {
  public:
   using Done = std::function<void(Result<HttpReply>)>;
--- a/src/arbutusdale/net/http_client.cpp
+++ b/src/arbutusdale/net/http_client.cpp
@@ -139,7 +139,7 @@
                               int /*remote_port*/, int /*local_port*/) {
   auto& active = *static_cast<ActiveCall*>(user);
   if (active.request_started) {
-    return CURL_PREREQFUNC_OK;
+    return active.call.is_repeatable ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
   }
   if (active.client->m_loop.read_clock() > active.send_until) {
     return CURL_PREREQFUNC_ABORT;
@@ -269,10 +269,11 @@
     return HttpReply{static_cast<int>(status), std::move(active.response_body)};
   }
   const std::string text = active.call.url + ": " + curl_easy_strerror(code);
-  // on_prerequest() aborts a request that would be sent too late.
-  const bool timed_out = code == CURLE_OPERATION_TIMEDOUT || code == CURLE_ABORTED_BY_CALLBACK;
+  const bool timed_out = code == CURLE_OPERATION_TIMEDOUT;
   if (!active.request_started) {
-    return not_run(timed_out ? ErrorCode::deadline_exceeded : ErrorCode::unavailable, text);
+    // on_prerequest() aborts a request that would be sent too late.
+    const bool too_late = timed_out || code == CURLE_ABORTED_BY_CALLBACK;
+    return not_run(too_late ? ErrorCode::deadline_exceeded : ErrorCode::unavailable, text);
   }
   return may_have_run(timed_out ? ErrorCode::deadline_exceeded : ErrorCode::connection_lost, text);
 }
