Believe only a worker itself that it has restarted

A task could run twice: a registration with a later time of birth ended all runs of its worker, although anyone may write an entry, and the worker need not answer at that time. The leader now takes such a registration as a reason to poll at once, and ends runs when the worker's own reply names the new incarnation. The new test fails on the earlier rule.

--- a/include/arbutusdale/sched/scheduler.hpp
+++ b/include/arbutusdale/sched/scheduler.hpp
@@ -170,6 +170,7 @@
   void schedule_poll(Worker& worker, Duration delay);
   void on_poll_reply(const PollContext& context, const tl::expected<PollReply, OrderError>& reply);
   void on_poll_error(Worker& worker, const OrderError& error);
+  static void abandon_poll(Worker& worker);
   void begin_incarnation(Worker& worker, std::uint64_t incarnation);
   void resolve_run_after_restart(Worker& worker, const RunRef& ref);
   void stop_late_starts(Worker& worker);
--- a/src/arbutusdale/sched/scheduler.cpp
+++ b/src/arbutusdale/sched/scheduler.cpp
@@ -313,28 +313,28 @@
   Worker& worker = m_workers.get_or_add(entry.id);
   const bool added = !worker.registered;
   const bool state_changed = !added && worker.entry.state != entry.state;
-  const std::uint64_t incarnation = std::max(worker.entry.incarnation, entry.incarnation);
-  const bool restarted = entry.incarnation > worker.entry.incarnation;
-  if (restarted) {
-    begin_incarnation(worker, entry.incarnation);
-  }
+  const std::uint64_t known = worker.entry.incarnation;
+  const bool may_have_restarted = known != 0 && entry.incarnation > known;
   worker.entry = entry;
-  worker.entry.incarnation = incarnation;
+  worker.entry.incarnation = known == 0 ? entry.incarnation : known;
   worker.registered = true;
   worker.may_exit_at = m_timer.now() + std::chrono::milliseconds{entry.remaining_ms};
-  if (added || state_changed || restarted) {
+  if (added || state_changed || may_have_restarted) {
     EventLine(added ? Event::worker_seen : Event::worker_changed)
         .add("worker", entry.id)
         .add("vm", entry.vm)
         .add("failure_domain", entry.failure_domain)
         .add("rack", entry.rack)
         .add("cpu_millis", entry.capacity.cpu_millis)
-        .add("incarnation", incarnation)
+        .add("incarnation", entry.incarnation)
         .add("state", entry.state == WorkerState::ready ? "ready" : "draining")
         .add("remaining_ms", entry.remaining_ms)
         .write();
   }
-  if (added || restarted) {
+  if (may_have_restarted) {
+    abandon_poll(worker);
+  }
+  if (added || may_have_restarted) {
     schedule_poll(worker, Duration::zero());
     process_pending();
   }
--- a/src/arbutusdale/sched/scheduler_polling.cpp
+++ b/src/arbutusdale/sched/scheduler_polling.cpp
@@ -148,7 +148,14 @@
   schedule_poll(worker, k_poll_retry_interval);
 }
 
-// All runs of the earlier incarnation have ended.
+// Ignores the reply to the poll in flight, so that the next one can be sent at once.
+void Scheduler::abandon_poll(Worker& worker) {
+  worker.poll_in_flight = false;
+  ++worker.poll_serial;
+}
+
+// All runs of the earlier incarnation have ended. Only the worker itself tells that it has
+// restarted: a registration may be another writer's, and its runs would be started twice.
 void Scheduler::begin_incarnation(Worker& worker, std::uint64_t incarnation) {
   const bool known = worker.entry.incarnation != 0;
   worker.entry.incarnation = incarnation;
@@ -165,8 +172,7 @@
   worker.has_unwanted_runs = false;
   worker.processed_through = 0;
   worker.stored_through = 0;
-  worker.poll_in_flight = false;
-  ++worker.poll_serial;
+  abandon_poll(worker);
   for (const RunRef& ref : std::vector<RunRef>(worker.runs)) {
     resolve_run_after_restart(worker, ref);
   }
--- a/src/arbutusdale/sched/scheduler_test.cpp
+++ b/src/arbutusdale/sched/scheduler_test.cpp
@@ -165,6 +165,28 @@
   cr_assert(leader.state(1) == JobState::COMPLETED);
 }
 
+// Guards against a second run of a task because of a registration with a wrong time of birth, at a
+// time when the worker does not answer.
+Test(scheduler, a_registration_alone_does_not_end_runs) {
+  FleetFixture fixture(2);
+  fixture.fleet.work_of = [](const jobs::TaskId&) { return 60s; };
+  LeaderFixture leader(fixture.timer, fixture.fleet, fixture.log);
+  JobBuilder job(1);
+  job.step(1, 1'000).set_long_running(true);
+  leader.submit(job);
+  fixture.timer.advance(1500ms);
+  FakeWorker& worker = fixture.fleet.at(fixture.fleet.at("w00").runs.empty() ? "w01" : "w00");
+  worker.partitioned = true;
+  WorkerEntry entry = worker.entry;
+  ++entry.incarnation;
+  leader.scheduler->on_worker_updated(entry);
+  fixture.timer.advance(1s);
+  worker.partitioned = false;
+  fixture.timer.advance(8s);
+  cr_assert_eq(fixture.fleet.doubled, 0U);
+  cr_assert_eq(fixture.fleet.starts, 1U);
+}
+
 // Guards against a change of leader that starts running tasks a second time or loses them.
 Test(scheduler, the_next_leader_adopts_what_runs) {
   FleetFixture fixture;
