Count the claim delay from when the store can be read again

It handed over at 39.00, and one with half a core claimed at 39.45. The store had been away from 31.0 to 35.4; the first job partition could be read again between 36.45 and 36.66 on all daemons. Five daemons claimed within 40 ms, three of them weak: the store refused the claims of two weak and two strong daemons.

Cause: the claim delay, by which strong daemons claim first, counted from the last record of the leader. After an outage that time had long passed for all, so the first daemon that could read the store claimed.

Change: the delay counts from the last tick at which the view was too old for a claim. While the view stays current, nothing changes.

Test: weak_leader/the_claim_delay_counts_from_when_the_store_is_back, failed before.

--- a/include/arbutusdale/fleet/leader_election.hpp
+++ b/include/arbutusdale/fleet/leader_election.hpp
@@ -24,6 +24,7 @@
 
 /// How current this daemon's view of the leader's partition is.
 struct FollowerState {
+  /// The partition has been read in full, and the job table is current.
   bool loaded = false;
   std::optional<TimePoint> fresh_as_of;
   Duration read_latency{};
@@ -52,7 +53,8 @@
   /// A claim has failed; another daemon may have claimed first.
   void on_claim_refused(TimePoint now) { m_last_activity = now; }
 
-  [[nodiscard]] bool should_claim(TimePoint now, const FollowerState& state) const;
+  /// Call at every tick while this daemon does not lead.
+  [[nodiscard]] bool should_claim(TimePoint now, const FollowerState& state);
 
  private:
   /// Differs between daemons and is shorter on those with more processor time.
@@ -61,6 +63,9 @@
   /// Only this daemon knows of the vacancy; the others wait for the election timeout.
   bool m_earlier_incarnation_led = false;
   std::optional<TimePoint> m_last_activity;
+  /// The view of the partition was too old for a claim. The delays count from then, so that they
+  /// also order the claims of daemons that regain the store together.
+  std::optional<TimePoint> m_last_stale;
 };
 
 }  // namespace arbutusdale::fleet
--- a/src/arbutusdale/fleet/leader_election.cpp
+++ b/src/arbutusdale/fleet/leader_election.cpp
@@ -47,21 +47,24 @@
   }
 }
 
-bool LeaderElection::should_claim(TimePoint now, const FollowerState& state) const {
-  if (!state.loaded || !state.fresh_as_of) {
-    return false;
-  }
-  if (now - *state.fresh_as_of > k_max_staleness + 2 * state.read_latency) {
+bool LeaderElection::should_claim(TimePoint now, const FollowerState& state) {
+  const bool current = state.loaded && state.fresh_as_of &&
+                       now - *state.fresh_as_of <= k_max_staleness + 2 * state.read_latency;
+  if (!current) {
+    m_last_stale = now;
     return false;
   }
   const bool leaves_claim_to_others = m_earlier_incarnation_led && state.stronger_known;
+  TimePoint possible = m_last_stale.value_or(TimePoint{});
+  Duration deference{};
   if (m_vacant_since && !leaves_claim_to_others) {
-    const Duration deference = state.stronger_in_touch ? k_vacancy_deference : Duration::zero();
-    return now - *m_vacant_since >= m_claim_delay + deference;
+    possible = std::max(possible, *m_vacant_since);
+    deference = state.stronger_in_touch ? k_vacancy_deference : Duration::zero();
+  } else if (m_last_activity) {
+    possible = std::max(possible, *m_last_activity + k_election_timeout + 2 * state.read_latency);
+    deference = state.stronger_known ? k_timeout_deference : Duration::zero();
   }
-  const Duration deference = state.stronger_known ? k_timeout_deference : Duration::zero();
-  const Duration timeout = k_election_timeout + 2 * state.read_latency + m_claim_delay + deference;
-  return !m_last_activity || now - *m_last_activity >= timeout;
+  return now >= possible + m_claim_delay + deference;
 }
 
 }  // namespace arbutusdale::fleet
--- a/src/arbutusdale/fleet/node.cpp
+++ b/src/arbutusdale/fleet/node.cpp
@@ -175,12 +175,12 @@
   if (!m_jobs.leadership() && m_leader_follower.is_loaded()) {
     m_election.on_leadership_vacant(m_deps.timer.now());
   }
-  const FollowerState state{m_leader_follower.is_loaded(), m_leader_follower.fresh_as_of(),
-                            m_leader_follower.read_latency(),
+  const FollowerState state{m_leader_follower.is_loaded() && m_service.is_job_table_current(),
+                            m_leader_follower.fresh_as_of(), m_leader_follower.read_latency(),
                             m_stronger.are_in_touch(m_deps.timer.now()),
                             m_stronger.are_known(m_deps.timer.now())};
-  const bool allowed = !m_claim_in_flight && !m_stopping && m_service.is_job_table_current();
-  if (allowed && m_election.should_claim(m_deps.timer.now(), state)) {
+  const bool claim_due = m_election.should_claim(m_deps.timer.now(), state);
+  if (claim_due && !m_claim_in_flight && !m_stopping) {
     send_claim();
   }
 }
--- a/src/arbutusdale/fleet/weak_leader_test.cpp
+++ b/src/arbutusdale/fleet/weak_leader_test.cpp
@@ -157,6 +157,24 @@
   cr_assert(waiting.should_claim(later, {true, later, 0ms}));
 }
 
+// Guards against a claim by whichever daemon happens to regain the store first: the election
+// timeout has long passed then for all of them.
+Test(weak_leader, the_claim_delay_counts_from_when_the_store_is_back) {
+  LeaderElection weak("weak", k_weak);
+  LeaderElection strong("strong", k_strong);
+  for (LeaderElection* election : {&weak, &strong}) {
+    election->on_leader_activity(k_now);
+    for (int tenth = 0; tenth < 50; ++tenth) {
+      cr_assert_not(election->should_claim(k_now + tenth * 100ms, {true, k_now, 0ms}));
+    }
+  }
+  const TimePoint back = k_now + 5s;
+  cr_assert_not(weak.should_claim(back, {true, back, 0ms, false, true}));
+  cr_assert_not(weak.should_claim(back + 200ms, {true, back, 0ms, false, true}));
+  cr_assert(strong.should_claim(back, {true, back, 0ms}));
+  cr_assert(weak.should_claim(back + 500ms, {true, back, 0ms, false, true}));
+}
+
 // Guards against a weak daemon that takes the leadership that has just been handed over.
 Test(weak_leader, defers_to_daemons_in_touch_after_a_release) {
   LeaderElection weak("weak", k_weak);
