--- a/include/arbutusdale/fleet/leader_election.hpp
+++ b/include/arbutusdale/fleet/leader_election.hpp
@@ -24,9 +24,14 @@
 
 /// How current this daemon's view of the leader's partition is.
 struct FollowerState {
+  /// The partition has been read in full, and the job table is current.
   bool loaded = false;
   std::optional<TimePoint> fresh_as_of;
   Duration read_latency{};
+  /// Daemons with much more processor time than this one have reached the store just now, or have
+  /// existed a short time ago.
+  bool stronger_in_touch = false;
+  bool stronger_known = false;
 };
 
 class LeaderElection {
@@ -36,21 +41,31 @@
 
   /// A record of a leader has arrived, or this daemon has stepped down.
   void on_leader_activity(TimePoint now) { m_last_activity = now; }
-  /// No daemon leads: there is no leadership record, or the newest one releases the leadership or
-  /// is from an earlier incarnation of this daemon.
+  /// No daemon leads: there is no leadership record, or the newest one releases the leadership.
   void on_leadership_vacant(TimePoint now);
+  /// The newest leadership record is from an earlier incarnation of this daemon, which has ended.
+  void on_earlier_incarnation_led(TimePoint now);
   /// A daemon leads: the newest leadership record names it, or this daemon's claim has succeeded.
-  void on_leadership_held() { m_vacant_since.reset(); }
+  void on_leadership_held() {
+    m_vacant_since.reset();
+    m_earlier_incarnation_led = false;
+  }
   /// A claim has failed; another daemon may have claimed first.
   void on_claim_refused(TimePoint now) { m_last_activity = now; }
 
-  [[nodiscard]] bool should_claim(TimePoint now, const FollowerState& state) const;
+  /// Call at every tick while this daemon does not lead.
+  [[nodiscard]] bool should_claim(TimePoint now, const FollowerState& state);
 
  private:
   /// Differs between daemons and is shorter on those with more processor time.
   Duration m_claim_delay;
   std::optional<TimePoint> m_vacant_since;
+  /// Only this daemon knows of the vacancy; the others wait for the election timeout.
+  bool m_earlier_incarnation_led = false;
   std::optional<TimePoint> m_last_activity;
+  /// The view of the partition was too old for a claim. The delays count from then, so that they
+  /// also order the claims of daemons that regain the store together.
+  std::optional<TimePoint> m_last_stale;
 };
 
 }  // namespace arbutusdale::fleet
--- a/include/arbutusdale/sched/scheduler.hpp
+++ b/include/arbutusdale/sched/scheduler.hpp
@@ -14,6 +14,7 @@
 #include "arbutusdale/sched/placement_round.hpp"
 #include "arbutusdale/sched/ready_queue.hpp"
 #include "arbutusdale/sched/serving_affinity.hpp"
+#include "arbutusdale/sched/start_window.hpp"
 #include "arbutusdale/sched/task_table.hpp"
 #include "arbutusdale/sched/ticket_cache.hpp"
 #include "arbutusdale/sched/worker_directory.hpp"
@@ -147,6 +148,7 @@
   void on_start_error(Task& task, Run& run, Worker& worker, const OrderError& error);
   void stop_run(Task& task, Run& run, const char* reason);
   void send_stop(Task& task, Run& run);
+  void restart_stop(Task& task, Run& run, const char* reason);
   void on_stop_reply(const jobs::TaskId& id, std::uint32_t number, const WorkerEndpoint& worker,
                      const tl::expected<OrderReply, OrderError>& reply);
   void stop_unwanted_run(Worker& worker, const jobs::TaskId& id, std::uint32_t number);
@@ -168,7 +170,10 @@
   void schedule_poll(Worker& worker, Duration delay);
   void on_poll_reply(const PollContext& context, const tl::expected<PollReply, OrderError>& reply);
   void on_poll_error(Worker& worker, const OrderError& error);
+  static void abandon_poll(Worker& worker);
   void begin_incarnation(Worker& worker, std::uint64_t incarnation);
+  void resolve_run_after_restart(Worker& worker, const RunRef& ref);
+  void stop_late_starts(Worker& worker);
   void apply_ended_run(Worker& worker, const EndedRun& end);
   void record_failed_run(Task& task, Worker& worker, std::uint32_t number);
   void update_runs(Worker& worker, const PollReply& reply);
@@ -214,6 +219,7 @@
   bool m_place_due = false;
   bool m_round_scheduled = false;
   std::size_t m_starts_in_flight = 0;
+  StartWindow m_start_window;
   bool m_advice_in_flight = false;  // the service takes one call at a time
   TimePoint m_placed_at{};          // last placement round
   TimePoint m_batch_placed_at{};    // last round with opportunistic tasks
