--- a/include/arbutusdale/store/group_commit.hpp
+++ b/include/arbutusdale/store/group_commit.hpp
@@ -83,12 +83,12 @@
   const std::optional<FailFastPolicy> m_fail_fast;  // empty: writes wait until their deadlines
   std::shared_ptr<bool> m_alive;
 
-  std::uint64_t m_sequence;         // of the active batch, or of the next one
-  std::deque<Write> m_queued;       // not sent yet
-  std::vector<Write> m_batch;       // active; kept until its outcome is known
-  bool m_batch_active = false;      // a batch is in flight or waits for its retry
-  bool m_append_in_flight = false;  // an append has been sent and has no reply yet
-  bool m_maybe_stored = false;      // an attempt of the batch got no reply
+  std::uint64_t m_sequence;                     // of the active batch, or of the next one
+  std::deque<Write> m_queued;                   // not sent yet
+  std::vector<Write> m_batch;                   // active; kept until its outcome is known
+  bool m_batch_active = false;                  // a batch is in flight or waits for its retry
+  bool m_append_in_flight = false;              // an append has been sent and has no reply yet
+  bool m_maybe_stored = false;                  // an attempt of the batch got no reply
   std::optional<TimePoint> m_unanswered_since;  // send time of the first such attempt
   bool m_fenced = false;
   std::optional<TimePoint> m_last_success_sent;
