Keep the last roster when a newer one can't be decoded

A failed parse left a part of the new roster in place of the old one, so that the next leader would not have waited for workers that it lacks. Found in review; not seen.

--- a/src/arbutusdale/jobs/job_table.cpp
+++ b/src/arbutusdale/jobs/job_table.cpp
@@ -128,9 +128,12 @@
     return;
   }
   if (record.entry.key == k_roster_key) {
-    if (!m_roster.ParseFromString(record.entry.value)) {
+    WorkerRoster roster;
+    if (!roster.ParseFromString(record.entry.value)) {
       log_undecodable(record);
+      return;
     }
+    m_roster = std::move(roster);
     return;
   }
   if (record.entry.key == k_interference_key) {
