Extend the leases of an earlier roster's workers from the second poll on

Callers saw runs lapse after a change of leader. A leader extended leases and sent starts only to workers in a roster of its own, which is stored 15 to 25 ms after the claim, so that its second poll, sent 4 ms after it, extended nothing and then waited for 0.7 s. A worker that could not be reached after that lost its runs although it had answered. The stored roster of the earlier leader already names these workers, which is all that the next leader needs. The new test failed before.

--- a/src/arbutusdale/sched/scheduler.cpp
+++ b/src/arbutusdale/sched/scheduler.cpp
@@ -50,6 +50,7 @@
     worker.entry.address = listed.address();
     worker.entry.incarnation = listed.incarnation();
     worker.in_earlier_roster = true;
+    worker.in_roster = true;
     schedule_poll(worker, Duration::zero());
   }
   for (const auto& [id, entry] : jobs.entries()) {
--- a/src/arbutusdale/sched/scheduler_test.cpp
+++ b/src/arbutusdale/sched/scheduler_test.cpp
@@ -62,6 +62,28 @@
   cr_assert_eq(fixture.fleet.running(), 2U, "both tasks run again once the leases have expired");
 }
 
+// Guards against adopted runs that are lost because a new leader extends no lease before it has
+// stored a roster of its own: the worker is unreachable soon after its first answer.
+Test(scheduler, the_second_poll_of_a_new_leader_extends_the_leases) {
+  FleetFixture fixture(1);
+  fixture.fleet.work_of = [](const jobs::TaskId&) { return 60s; };
+  LeaderFixture first(fixture.timer, fixture.fleet, fixture.log);
+  fixture.timer.advance(1s);
+  JobBuilder job(1);
+  job.step(1, 1'000).set_long_running(true);
+  first.submit(job);
+  fixture.timer.advance(1s);
+  first.scheduler->set_order_limits({TimePoint{}, TimePoint{}});
+  fixture.timer.advance(4'500ms);
+  first.frozen = true;
+  LeaderFixture second(fixture.timer, fixture.fleet, fixture.log, 2);
+  fixture.timer.advance(15ms);
+  fixture.fleet.at("w00").partitioned = true;
+  fixture.timer.advance(4s);
+  cr_assert_eq(fixture.fleet.running(), 1U);
+  cr_assert_eq(fixture.fleet.starts, 1U);
+}
+
 // Guards against a step that starts before the steps it depends on are done.
 Test(scheduler, runs_dependent_steps_in_order) {
   FleetFixture fixture;
