Let a registration without a worker hold up no change of leader

A new leader now waits for the workers of the roster only, which hold all earlier starts; the roster takes a worker in once it has answered; and one that has never answered is polled once a second after ten attempts. The new test covers both.

--- a/src/arbutusdale/sched/fake_fleet_test.hpp
+++ b/src/arbutusdale/sched/fake_fleet_test.hpp
@@ -114,6 +114,7 @@
   std::uint64_t started_after_done = 0;  // starts of a task after a noted run of it that succeeded
   std::vector<std::string> violations;   // descriptions of the starts counted above
   std::uint64_t starts = 0;
+  std::uint64_t polls = 0;
   std::map<std::string, std::uint32_t> successes;  // successful runs, by task
 
   FakeWorker& add(const std::string& id, std::uint64_t cpu_millis, const std::string& rack = "r1") {
@@ -156,6 +157,7 @@
   }
 
   void poll(const WorkerEndpoint& to, const PollOrder& order, PollDone done) override {
+    ++polls;
     deliver<PollReply>(to, std::move(done), [this, order](FakeWorker& worker, const auto& answer) {
       if (fenced(worker, order.fencing_token)) {
         answer(tl::unexpected(OrderError{OrderFailure::fenced, clock_of(worker), "fence"}));
--- a/src/arbutusdale/sched/scheduler.cpp
+++ b/src/arbutusdale/sched/scheduler.cpp
@@ -230,7 +230,7 @@
   std::vector<WorkerSlot> roster_additions;
   if (!entries.empty()) {
     for (const auto& worker : m_workers.all()) {
-      if (worker->registered && !worker->in_roster) {
+      if (may_have_runs(*worker) && !worker->in_roster) {
         roster_additions.push_back(worker->slot);
       }
     }
@@ -306,7 +306,7 @@
   }
   const auto& workers = m_workers.all();
   return m_workers_loaded && std::all_of(workers.begin(), workers.end(), [](const auto& worker) {
-           return worker->has_answered || !(worker->registered || worker->in_earlier_roster);
+           return worker->has_answered || !worker->in_earlier_roster;
          });
 }
 
@@ -361,13 +361,15 @@
   }
 }
 
-// Whether a run that some leader has started may be alive on the worker or may still start there.
+// Whether a run that some leader has started may be alive on the worker, or may start there from now
+// on. A worker that has never answered gets no starts, and the next leader need not wait for it.
 bool Scheduler::may_have_runs(const Worker& worker) const {
   const TimePoint now = m_timer.now();
   const bool awaiting_first_answer = worker.in_earlier_roster && !worker.has_answered &&
                                      now - m_started_at <= k_earlier_lease_bound;
   const bool may_run = now <= worker.lease.expires_at();
-  return worker.registered || !worker.runs.empty() || awaiting_first_answer || may_run;
+  const bool may_get_starts = worker.registered && worker.has_answered;
+  return may_get_starts || !worker.runs.empty() || awaiting_first_answer || may_run;
 }
 
 // The new roster, if the stored one lacks a registered worker or names one that is gone.
--- a/src/arbutusdale/sched/scheduler_polling.cpp
+++ b/src/arbutusdale/sched/scheduler_polling.cpp
@@ -21,6 +21,9 @@
 constexpr Duration k_first_renewal_bound = std::chrono::milliseconds{1'500};
 constexpr Duration k_poll_interval = std::chrono::milliseconds{40};
 constexpr Duration k_poll_retry_interval = std::chrono::milliseconds{150};
+// A registered worker that has not answered so far may not exist.
+constexpr std::uint32_t k_max_frequent_retries = 10;
+constexpr Duration k_unknown_poll_interval = std::chrono::seconds{1};
 // While ended runs are not acknowledged, polls are answered at once, so the next one is sent later.
 constexpr Duration k_unstored_poll_interval = std::chrono::milliseconds{250};
 
@@ -145,7 +148,8 @@
         .add("runs", worker.runs.size())
         .write();
   }
-  schedule_poll(worker, k_poll_retry_interval);
+  const bool is_unknown = !worker.in_roster && worker.unanswered_polls > k_max_frequent_retries;
+  schedule_poll(worker, is_unknown ? k_unknown_poll_interval : k_poll_retry_interval);
 }
 
 // Ignores the reply to the poll in flight, so that the next one can be sent at once.
--- a/src/arbutusdale/sched/scheduler_test.cpp
+++ b/src/arbutusdale/sched/scheduler_test.cpp
@@ -251,6 +251,30 @@
   cr_assert_eq(fixture.fleet.doubled, 0U);
 }
 
+// Guards against a registration without a worker that holds up every change of leader and is polled
+// as often as workers that run tasks.
+Test(scheduler, a_registration_without_a_worker_holds_nothing_up) {
+  FleetFixture fixture(2);
+  fixture.fleet.work_of = [](const jobs::TaskId&) { return 4s; };
+  fixture.fleet.at("w01").partitioned = true;
+  LeaderFixture first(fixture.timer, fixture.fleet, fixture.log);
+  fixture.timer.advance(30s);
+  const std::uint64_t polls = fixture.fleet.polls;
+  fixture.timer.advance(10s);
+  // w00 answers about 14 polls in this time.
+  cr_assert_leq(fixture.fleet.polls - polls, 25U);
+  JobBuilder job(1);
+  job.step(1, 1'000);
+  job.step(1, 1'000).add_after(0);
+  first.submit(job);
+  fixture.timer.advance(1s);
+  first.frozen = true;
+  LeaderFixture second(fixture.timer, fixture.fleet, fixture.log, 2);
+  fixture.timer.advance(4s);
+  cr_assert_eq(fixture.fleet.starts, 2U, "the second step starts as soon as the first is done");
+  cr_assert_eq(fixture.fleet.doubled, 0U);
+}
+
 // Guards against new jobs that wait for workers whose answers concern only older jobs.
 Test(scheduler, new_jobs_do_not_wait_for_the_takeover) {
   FleetFixture fixture(2);
