--- a/include/arbutusdale/sched/scheduler.hpp
+++ b/include/arbutusdale/sched/scheduler.hpp
@@ -165,7 +165,7 @@
   void on_advice(const StepId& step, const std::vector<WorkerEndpoint>& candidates, TimePoint sent,
                  const tl::expected<Advice, AdviceError>& advice);
 
-  // Polls of workers, scheduler_polling.cpp.
+  // Polls of workers, incarnations and leases, scheduler_polling.cpp.
   void send_poll(Worker& worker);
   void schedule_poll(Worker& worker, Duration delay);
   void on_poll_reply(const PollContext& context, const tl::expected<PollReply, OrderError>& reply);
@@ -174,6 +174,12 @@
   void begin_incarnation(Worker& worker, std::uint64_t incarnation);
   void resolve_run_after_restart(Worker& worker, const RunRef& ref);
   void stop_late_starts(Worker& worker);
+  void update_typical_speed();
+  /// Time after which no known run of the worker is alive.
+  [[nodiscard]] TimePoint leases_expire_at(const Worker& worker) const;
+  void check_lease(Worker& worker);
+
+  // What polls say of runs, scheduler_runs.cpp.
   void apply_ended_run(Worker& worker, const EndedRun& end);
   void record_failed_run(Task& task, Worker& worker, std::uint32_t number);
   void update_runs(Worker& worker, const PollReply& reply);
@@ -181,10 +187,6 @@
   void drop_missing_runs(Worker& worker, const PollReply& reply, const PollContext& context);
   void drop_run(Task& task, std::uint32_t number);
   void move_stragglers(Worker& worker);
-  void update_typical_speed();
-  /// Time after which no known run of the worker is alive.
-  [[nodiscard]] TimePoint leases_expire_at(const Worker& worker) const;
-  void check_lease(Worker& worker);
   void presume_ended(const Worker& worker, const RunRef& ref, const char* reason);
   void log_unexpected_run(const Worker& worker, const RunningTask& row, const Task& task);
 
--- a/src/arbutusdale/sched/scheduler.cpp
+++ b/src/arbutusdale/sched/scheduler.cpp
@@ -361,8 +361,9 @@
   }
 }
 
-// Whether a run that some leader has started may be alive on the worker, or may start there from now
-// on. A worker that has never answered gets no starts, and the next leader need not wait for it.
+// Whether a run that some leader has started may be alive on the worker, or may start there from
+// now on. A worker that has never answered gets no starts, and the next leader need not wait for
+// it.
 bool Scheduler::may_have_runs(const Worker& worker) const {
   const TimePoint now = m_timer.now();
   const bool awaiting_first_answer = worker.in_earlier_roster && !worker.has_answered &&
