Notice a restart by any change of birth, and count abandoned polls as unanswered

A worker whose time of day had been set back restarted with an earlier birth, which was not noticed: ends of the next incarnation were acknowledged unread, and their tasks started again. A first registration with a wrong birth hid restarts in the same way. And since, each registration of a restarted but unreachable worker abandoned the poll in flight before it counted as unanswered, so that the dead runs' leases seemed to be extended for ever.

--- a/include/arbutusdale/sched/worker_table.hpp
+++ b/include/arbutusdale/sched/worker_table.hpp
@@ -37,9 +37,10 @@
   WorkerSlot slot = 0;
   WorkerEntry entry;
   bool registered = false;
-  bool in_roster = false;          // the stored roster names it; required for starts
-  bool in_earlier_roster = false;  // an earlier leader's roster names it
-  TimePoint may_exit_at{};         // while draining: earliest time at which it exits
+  bool in_roster = false;                   // the stored roster names it; required for starts
+  bool in_earlier_roster = false;           // an earlier leader's roster names it
+  TimePoint may_exit_at{};                  // while draining: earliest time at which it exits
+  std::uint64_t announced_incarnation = 0;  // newest one in a registration; not confirmed
   WorkerLease lease;
   bool has_answered = false;       // this incarnation has answered a poll of this leader
   bool needs_poll = false;         // a start was unanswered since the last answered poll
--- a/src/arbutusdale/sched/restarted_worker_test.cpp
+++ b/src/arbutusdale/sched/restarted_worker_test.cpp
@@ -82,3 +82,85 @@
   fixture.timer.advance(3s);
   cr_assert_eq(fixture.fleet.doubled, 0U);
 }
+
+// Guards against a worker that restarts with an earlier birth, as after a step of its clock: the
+// acknowledgement of the earlier incarnation's ends applies to those of the next one.
+Test(restarted_worker, a_restart_with_an_earlier_birth_is_noticed) {
+  FleetFixture f(2);
+  f.fleet.work_of = [](const jobs::TaskId&) { return 300ms; };
+  for (auto& [id, worker] : f.fleet.all()) {
+    worker->entry.incarnation = 10'000;
+  }
+  LeaderFixture leader(f.timer, f.fleet, f.log);
+  f.timer.advance(1s);
+  JobBuilder job(1);
+  job.step(30, 1'000);
+  leader.submit(job);
+  f.timer.advance(4s);
+  cr_assert(leader.state(1) == jobs::JobState::COMPLETED);
+  for (const char* id : {"w00", "w01"}) {
+    f.fleet.restart(id, 0);
+    f.fleet.at(id).entry.incarnation = 5'000;
+    leader.scheduler->on_worker_updated(f.fleet.at(id).entry);
+  }
+  f.timer.advance(1s);
+  JobBuilder next(2);
+  next.step(4, 1'000);
+  leader.submit(next);
+  f.timer.advance(8s);
+  cr_expect_eq(f.fleet.started_after_done, 0U);
+  cr_expect_eq(f.fleet.doubled, 0U);
+  cr_expect(leader.state(2) == jobs::JobState::COMPLETED);
+}
+
+// Guards against a first registration with a birth in the future, after which no restart counts.
+Test(restarted_worker, a_first_registration_with_a_later_birth_hides_no_restart) {
+  FleetFixture f(2);
+  f.fleet.work_of = [](const jobs::TaskId&) { return 300ms; };
+  LeaderFixture leader(f.timer, f.fleet, f.log);
+  f.fleet.add("w02", 8'000);
+  WorkerEntry odd = f.fleet.at("w02").entry;
+  odd.incarnation = 1'000'000;
+  leader.scheduler->on_worker_updated(odd);
+  for (const char* id : {"w00", "w01"}) {
+    WorkerEntry entry = f.fleet.at(id).entry;
+    entry.state = WorkerState::draining;
+    leader.scheduler->on_worker_updated(entry);
+  }
+  leader.scheduler->on_worker_updated(f.fleet.at("w02").entry);
+  f.timer.advance(1s);
+  JobBuilder job(1);
+  job.step(8, 1'000);
+  leader.submit(job);
+  f.timer.advance(3s);
+  f.fleet.restart("w02");
+  leader.scheduler->on_worker_updated(f.fleet.at("w02").entry);
+  f.timer.advance(1s);
+  JobBuilder next(2);
+  next.step(4, 1'000);
+  leader.submit(next);
+  f.timer.advance(8s);
+  cr_expect_eq(f.fleet.started_after_done, 0U);
+  cr_expect(leader.state(2) == jobs::JobState::COMPLETED);
+}
+
+// Guards against leases that a silent worker seems to hold for as long as it stays silent: each
+// registration of its next incarnation abandons the poll in flight before it counts as unanswered.
+Test(restarted_worker, registrations_of_a_silent_worker_do_not_extend_its_leases) {
+  FleetFixture f(2);
+  f.fleet.work_of = [](const jobs::TaskId&) { return 60s; };
+  LeaderFixture leader(f.timer, f.fleet, f.log);
+  f.timer.advance(1s);
+  JobBuilder job(1);
+  job.step(2, 1'000);
+  leader.submit(job);
+  f.timer.advance(1s);
+  const std::string busy = f.fleet.at("w00").runs.empty() ? "w01" : "w00";
+  f.fleet.restart(busy);
+  f.fleet.at(busy).partitioned = true;
+  for (int i = 0; i < 80; ++i) {
+    leader.scheduler->on_worker_updated(f.fleet.at(busy).entry);
+    f.timer.advance(500ms);
+  }
+  cr_assert_eq(f.fleet.running(), 2U, "%zu of 2 tasks run after 40 s", f.fleet.running());
+}
--- a/src/arbutusdale/sched/scheduler.cpp
+++ b/src/arbutusdale/sched/scheduler.cpp
@@ -315,7 +315,9 @@
   const bool added = !worker.registered;
   const bool state_changed = !added && worker.entry.state != entry.state;
   const std::uint64_t known = worker.entry.incarnation;
-  const bool may_have_restarted = known != 0 && entry.incarnation > known;
+  const bool may_have_restarted =
+      known != 0 && entry.incarnation != known && entry.incarnation != worker.announced_incarnation;
+  worker.announced_incarnation = entry.incarnation;
   worker.entry = entry;
   worker.entry.incarnation = known == 0 ? entry.incarnation : known;
   worker.registered = true;
@@ -332,8 +334,9 @@
         .add("remaining_ms", entry.remaining_ms)
         .write();
   }
-  if (may_have_restarted) {
+  if (may_have_restarted && worker.poll_in_flight) {
     abandon_poll(worker);
+    ++worker.unanswered_polls;
   }
   if (added || may_have_restarted) {
     schedule_poll(worker, Duration::zero());
--- a/src/arbutusdale/sched/scheduler_polling.cpp
+++ b/src/arbutusdale/sched/scheduler_polling.cpp
@@ -85,7 +85,8 @@
     return;
   }
   const TimePoint now = m_timer.now();
-  if (reply->incarnation > worker.entry.incarnation) {
+  // A later incarnation may have an earlier birth, since the time of day can jump.
+  if (reply->incarnation != 0 && reply->incarnation != worker.entry.incarnation) {
     begin_incarnation(worker, reply->incarnation);
   }
   worker.lease.observe_clock(reply->clock_ms, now);
