Confirm only ends of the incarnation that a write was about

A write of progress that was in flight while a worker restarted confirmed, when it returned, as many ends of the next incarnation, which were acknowledged to the worker before their effect was stored. If the leader died then, the next one started those tasks again.

--- a/include/arbutusdale/sched/scheduler.hpp
+++ b/include/arbutusdale/sched/scheduler.hpp
@@ -104,6 +104,13 @@
     TimePoint sent{};
   };
 
+  /// Ended runs of a worker whose effects are part of a write.
+  struct ProcessedEnds {
+    WorkerSlot slot = 0;
+    std::uint64_t incarnation = 0;
+    std::uint64_t through = 0;  // sequence of the last one
+  };
+
   // Jobs, tasks and progress, scheduler.cpp.
   void add_job(const jobs::JobId& id, const jobs::JobEntry& entry, bool taken_over);
   void open_due_occurrences(Job& job);
@@ -116,7 +123,7 @@
   void mark_dirty(Job& job);
   void flush();
   void on_flushed(bool stored, const std::vector<jobs::JobId>& written,
-                  const std::vector<std::pair<WorkerSlot, std::uint64_t>>& processed);
+                  const std::vector<ProcessedEnds>& processed);
   /// Places waiting tasks, stores progress and removes ended jobs; called after every event.
   void process_pending();
   [[nodiscard]] std::optional<store::KeyedValue> roster_entry();
--- a/src/arbutusdale/sched/restarted_worker_test.cpp
+++ b/src/arbutusdale/sched/restarted_worker_test.cpp
@@ -164,3 +164,40 @@
   }
   cr_assert_eq(f.fleet.running(), 2U, "%zu of 2 tasks run after 40 s", f.fleet.running());
 }
+
+// Guards against an acknowledgement of ends of the next incarnation that are not stored: a write
+// that was in flight when the worker restarted confirms only ends of the earlier one.
+Test(restarted_worker, a_write_in_flight_does_not_confirm_ends_of_the_next_incarnation) {
+  FleetFixture f(2);
+  f.fleet.work_of = [](const jobs::TaskId&) { return 300ms; };
+  LeaderFixture leader(f.timer, f.fleet, f.log);
+  f.timer.advance(1s);
+  JobBuilder job(1);
+  job.step(16, 1'000);
+  leader.submit(job);
+  f.timer.advance(250ms);
+  f.log.down = true;
+  f.timer.advance(250ms);  // the ends of the first incarnations wait to be stored
+  for (const char* id : {"w00", "w01"}) {
+    f.fleet.restart(id);
+    leader.scheduler->on_worker_updated(f.fleet.at(id).entry);
+  }
+  f.timer.advance(100ms);
+  JobBuilder next(2);
+  next.step(4, 1'000);
+  leader.submit(next);
+  f.timer.advance(700ms);  // the ends of the second job are processed, not stored
+  f.log.down = false;
+  // Find a moment at which an end is acknowledged (forgotten by the worker) and not stored.
+  for (int i = 0; i < 100; ++i) {
+    f.timer.advance(1ms);
+    const auto* entry = f.log.jobs.find(job_id(2));
+    const bool stored = entry->progress && (entry->state() == jobs::JobState::COMPLETED ||
+                                            entry->progress->steps_size() > 0);
+    const std::size_t unacknowledged =
+        f.fleet.at("w00").ended.size() + f.fleet.at("w01").ended.size();
+    if (!stored) {
+      cr_assert_geq(unacknowledged, 4U, "at %d ms %zu ends are left", i, unacknowledged);
+    }
+  }
+}
--- a/src/arbutusdale/sched/scheduler.cpp
+++ b/src/arbutusdale/sched/scheduler.cpp
@@ -208,10 +208,10 @@
   if (m_flushing) {
     return;
   }
-  std::vector<std::pair<WorkerSlot, std::uint64_t>> processed;
+  std::vector<ProcessedEnds> processed;
   for (const auto& worker : m_workers.all()) {
     if (worker->processed_through > worker->stored_through) {
-      processed.emplace_back(worker->slot, worker->processed_through);
+      processed.push_back({worker->slot, worker->entry.incarnation, worker->processed_through});
     }
   }
   std::vector<store::KeyedValue> entries;
@@ -262,7 +262,7 @@
 }
 
 void Scheduler::on_flushed(bool stored, const std::vector<jobs::JobId>& written,
-                           const std::vector<std::pair<WorkerSlot, std::uint64_t>>& processed) {
+                           const std::vector<ProcessedEnds>& processed) {
   if (!stored) {
     m_dirty.insert(written.begin(), written.end());
     return;
@@ -273,10 +273,13 @@
       job->end_stored = true;
     }
   }
-  for (const auto& [slot, through] : processed) {
-    Worker& worker = m_workers.at(slot);
+  for (const ProcessedEnds& ends : processed) {
+    Worker& worker = m_workers.at(ends.slot);
     // After a restart of the worker its ended runs are numbered from the start again.
-    worker.stored_through = std::min(through, worker.processed_through);
+    if (worker.entry.incarnation != ends.incarnation) {
+      continue;
+    }
+    worker.stored_through = std::max(worker.stored_through, ends.through);
     schedule_poll(worker, Duration::zero());
   }
 }
