Open an occurrence that a worker reports, though it is not due here

The time of day of daemons differs. A leader whose clock is ahead starts an occurrence of a scheduled job before it is due on the next leader's clock. The next leader did not know the tasks that the workers then listed: it acknowledged their ends without effect and started them again when the occurrence came due, or started a second run beside one that was out of reach.

An occurrence that a worker reports now counts as opened, as one of which progress is stored did before.

--- a/include/arbutusdale/sched/scheduler.hpp
+++ b/include/arbutusdale/sched/scheduler.hpp
@@ -187,6 +187,8 @@
   void check_lease(Worker& worker);
 
   // What polls say of runs, scheduler_runs.cpp.
+  /// The task that a worker has named; null if it is not one of a job that is known.
+  Task* find_reported_task(const jobs::TaskId& id);
   void apply_ended_run(Worker& worker, const EndedRun& end);
   void record_failed_run(Task& task, Worker& worker, std::uint32_t number);
   void update_runs(Worker& worker, const PollReply& reply);
--- a/include/arbutusdale/sched/task_table.hpp
+++ b/include/arbutusdale/sched/task_table.hpp
@@ -134,13 +134,16 @@
 
   /// Opens the occurrences that are due. Returns all steps whose tasks may start now.
   std::vector<Step*> open_occurrences(Job& job, std::uint64_t wall_ms);
+  /// Opens the occurrences up to `last`, which an earlier leader has opened: it counts as due even
+  /// if this daemon's time of day is behind. Returns all steps whose tasks may start now.
+  std::vector<Step*> open_occurrences_through(Job& job, std::uint32_t last);
   /// Marks a task as done. Returns the steps that may start because of it.
   static std::vector<Step*> complete(Task& task);
 
  private:
   static void restore(Job& job, const proto::jobs::JobProgress& progress);
   static Occurrence& open_occurrence(Job& job, std::uint32_t number);
-  static std::vector<Step*> startable_steps(Occurrence& occurrence);
+  static std::vector<Step*> startable_steps(Job& job);
 
   std::unordered_map<jobs::JobId, std::unique_ptr<Job>> m_jobs;
 };
--- a/src/arbutusdale/sched/scheduler_runs.cpp
+++ b/src/arbutusdale/sched/scheduler_runs.cpp
@@ -35,6 +35,19 @@
 
 }  // namespace
 
+// An earlier leader whose time of day was ahead may have opened an occurrence that is not due here.
+Task* Scheduler::find_reported_task(const jobs::TaskId& id) {
+  Job* job = m_tasks.find(id.job);
+  if (job == nullptr) {
+    return nullptr;
+  }
+  const bool is_open = id.occurrence < job->next_occurrence;
+  if (!is_open && id.occurrence < job->occurrence_count()) {
+    enqueue_tasks(m_tasks.open_occurrences_through(*job, id.occurrence));
+  }
+  return job->find_task(id);
+}
+
 void Scheduler::apply_ended_run(Worker& worker, const EndedRun& end) {
   EventLine(Event::run_ended)
       .add("job", end.task.job.view())
@@ -45,8 +58,7 @@
       .add("how", enum_name(k_outcome_names, end.outcome))
       .add("number", end.sequence)
       .write();
-  Job* job = m_tasks.find(end.task.job);
-  Task* task = job == nullptr ? nullptr : job->find_task(end.task);
+  Task* task = find_reported_task(end.task);
   if (task == nullptr) {
     return;
   }
@@ -109,12 +121,12 @@
 }
 
 void Scheduler::update_run(Worker& worker, const RunningTask& row) {
-  Job* job = m_tasks.find(row.task.job);
-  Task* task = job == nullptr ? nullptr : job->find_task(row.task);
+  Task* task = find_reported_task(row.task);
   if (task == nullptr) {
     stop_unwanted_run(worker, row.task, row.run);
     return;
   }
+  Job* job = task->step->job;
   Run* run = task->find_run(row.run);
   if (run == nullptr || run->worker != worker.slot) {
     const bool unwanted = task->phase == TaskPhase::done || job->ending || !task->runs.empty() ||
--- a/src/arbutusdale/sched/task_table.cpp
+++ b/src/arbutusdale/sched/task_table.cpp
@@ -215,11 +215,13 @@
   return *job.occurrences.back();
 }
 
-std::vector<Step*> TaskTable::startable_steps(Occurrence& occurrence) {
+std::vector<Step*> TaskTable::startable_steps(Job& job) {
   std::vector<Step*> steps;
-  for (Step& step : occurrence.steps) {
-    if (step.pending_dependencies == 0 && !step.is_done()) {
-      steps.push_back(&step);
+  for (const auto& occurrence : job.occurrences) {
+    for (Step& step : occurrence->steps) {
+      if (step.pending_dependencies == 0 && !step.is_done()) {
+        steps.push_back(&step);
+      }
     }
   }
   return steps;
@@ -230,12 +232,14 @@
          due_wall_ms(job.spec(), job.next_occurrence) <= wall_ms) {
     open_occurrence(job, job.next_occurrence++);
   }
-  std::vector<Step*> steps;
-  for (const auto& occurrence : job.occurrences) {
-    const std::vector<Step*> opened = startable_steps(*occurrence);
-    steps.insert(steps.end(), opened.begin(), opened.end());
+  return startable_steps(job);
+}
+
+std::vector<Step*> TaskTable::open_occurrences_through(Job& job, std::uint32_t last) {
+  while (job.next_occurrence < job.occurrence_count() && job.next_occurrence <= last) {
+    open_occurrence(job, job.next_occurrence++);
   }
-  return steps;
+  return startable_steps(job);
 }
 
 std::vector<Step*> TaskTable::complete(Task& task) {
