Take drained workers out of the roster at once

Eleven workers had left as planned between two changes of leader. The roster kept them until the leases granted to them had expired, and the next leader waited for them.

A draining worker whose last answer lists no run, and to which no start is unanswered, can run nothing and gets nothing any more: the roster drops it then. The new test failed before.

--- a/src/arbutusdale/fleet/cluster_test.hpp
+++ b/src/arbutusdale/fleet/cluster_test.hpp
@@ -194,7 +194,7 @@
         [=, &fleet = m_fleet](PollDone reply) { fleet.poll(to, order, std::move(reply)); });
   }
   void start(const sched::WorkerEndpoint& to, const sched::StartOrder& order, Done done) override {
-    const auto call = [=, &fleet = m_fleet](Done reply) { fleet.start(to, order, reply); };
+    const auto call = [=, &fleet = m_fleet](const Done& reply) { fleet.start(to, order, reply); };
     WorkerPath& used = path(to.id);
     if (used.fault == PathFault::none && used.broken_starts > 0) {
       --used.broken_starts;
@@ -208,15 +208,16 @@
     send<sched::OrderReply>(to, used.late_starts, std::move(done), call);
   }
   void stop(const sched::WorkerEndpoint& to, const sched::RunOrder& order, Done done) override {
-    send<sched::OrderReply>(to, path(to.id).late_stops, std::move(done),
-                            [=, &fleet = m_fleet](Done reply) { fleet.stop(to, order, reply); });
+    send<sched::OrderReply>(
+        to, path(to.id).late_stops, std::move(done),
+        [=, &fleet = m_fleet](const Done& reply) { fleet.stop(to, order, reply); });
   }
   void throttle(const sched::WorkerEndpoint& to, const sched::ThrottleOrder& order,
                 Done done) override {
     int none_late = 0;
-    send<sched::OrderReply>(to, none_late, std::move(done), [=, &fleet = m_fleet](Done reply) {
-      fleet.throttle(to, order, reply);
-    });
+    send<sched::OrderReply>(
+        to, none_late, std::move(done),
+        [=, &fleet = m_fleet](const Done& reply) { fleet.throttle(to, order, reply); });
   }
 
  private:
@@ -297,8 +298,8 @@
   DaemonOrders orders;
   std::unique_ptr<Node> node;
 
-  Daemon(store::FakeStore& fake, store::FakeTimer& timer, sched::FakeFleet& fleet, std::string name,
-         const DirectoryFactory& directory, double cpu_share)
+  Daemon(store::FakeStore& fake, store::FakeTimer& timer, sched::FakeFleet& fleet,
+         const std::string& name, const DirectoryFactory& directory, double cpu_share)
       : process(timer), store(fake, timer, process), orders(fleet, timer, process) {
     node = std::make_unique<Node>(
         NodeDependencies{store, orders, fleet.advisor, process,
--- a/src/arbutusdale/sched/sched_fixture_test.hpp
+++ b/src/arbutusdale/sched/sched_fixture_test.hpp
@@ -89,7 +89,7 @@
 
   /// Behaves as a leader whose term the store no longer confirms: it starts nothing from the time
   /// that another may claim the leadership, and renews no leases a little later.
-  void lose_leadership() {
+  void lose_leadership() const {
     scheduler->set_order_limits({TimePoint{}, timer.now() + std::chrono::milliseconds{800}});
   }
 
--- a/src/arbutusdale/sched/scheduler.cpp
+++ b/src/arbutusdale/sched/scheduler.cpp
@@ -215,8 +215,14 @@
     }
   }
   std::vector<store::KeyedValue> entries;
+  std::vector<WorkerSlot> roster_additions;
   if (auto roster = roster_entry()) {
     entries.push_back(std::move(*roster));
+    for (const auto& worker : m_workers.all()) {
+      if (may_have_runs(*worker) && !worker->in_roster) {
+        roster_additions.push_back(worker->slot);
+      }
+    }
   }
   // Interference evidence is stored only together with progress, to save writes.
   if (m_evidence_due && !m_dirty.empty()) {
@@ -227,14 +233,6 @@
     on_flushed(true, {}, processed);
     return;
   }
-  std::vector<WorkerSlot> roster_additions;
-  if (!entries.empty()) {
-    for (const auto& worker : m_workers.all()) {
-      if (may_have_runs(*worker) && !worker->in_roster) {
-        roster_additions.push_back(worker->slot);
-      }
-    }
-  }
   std::vector<jobs::JobId> written;
   for (const jobs::JobId& id : std::exchange(m_dirty, {})) {
     const Job* job = m_tasks.find(id);
@@ -374,16 +372,22 @@
   const TimePoint now = m_timer.now();
   const bool awaiting_first_answer = worker.in_earlier_roster && !worker.has_answered &&
                                      now - m_started_at <= k_earlier_lease_bound;
+  const bool may_get_starts =
+      worker.registered && worker.has_answered && worker.entry.state == WorkerState::ready;
+  // The last answer listed no run, and no start has been left unanswered.
+  const bool is_empty = worker.has_answered && worker.runs.empty() && !worker.has_unwanted_runs &&
+                        worker.unanswered.empty();
   const bool may_run = now <= worker.lease.expires_at();
-  const bool may_get_starts = worker.registered && worker.has_answered;
-  return may_get_starts || !worker.runs.empty() || awaiting_first_answer || may_run;
+  return may_get_starts || !worker.runs.empty() || awaiting_first_answer || (may_run && !is_empty);
 }
 
 // The new roster, if the stored one lacks a registered worker or names one that is gone.
 std::optional<store::KeyedValue> Scheduler::roster_entry() {
   const auto& workers = m_workers.all();
   const bool needed = std::any_of(workers.begin(), workers.end(), [this](const auto& worker) {
-    return worker->registered != worker->in_roster && may_have_runs(*worker) != worker->in_roster;
+    // Others are added with their first answer, and stay while they are registered.
+    const bool is_leaving = worker->entry.state == WorkerState::draining || !worker->registered;
+    return is_leaving == worker->in_roster && may_have_runs(*worker) != worker->in_roster;
   });
   if (!needed) {
     return std::nullopt;
--- a/src/arbutusdale/sched/scheduler_test.cpp
+++ b/src/arbutusdale/sched/scheduler_test.cpp
@@ -336,6 +336,30 @@
   cr_assert_eq(fixture.log.jobs.roster().workers_size(), 1);
 }
 
+// Guards against a change of leader that waits for workers that have left as planned: the tasks of
+// taken over jobs would wait up to 6.5 s.
+Test(scheduler, the_roster_forgets_a_draining_worker_without_runs) {
+  FleetFixture fixture(2);
+  fixture.fleet.work_of = [](const jobs::TaskId&) { return 60s; };
+  LeaderFixture first(fixture.timer, fixture.fleet, fixture.log, 1);
+  fixture.timer.advance(1s);
+  JobBuilder job(1);
+  job.step(1, 1'000).set_long_running(true);
+  first.submit(job);
+  fixture.timer.advance(1s);
+  FakeWorker& leaving = fixture.fleet.at(fixture.fleet.at("w00").runs.empty() ? "w01" : "w00");
+  leaving.entry.state = WorkerState::draining;
+  leaving.entry.remaining_ms = 2'000;
+  first.scheduler->on_worker_updated(leaving.entry);
+  fixture.timer.advance(2s);
+  cr_assert_eq(fixture.fleet.starts, 2U);
+  cr_assert_eq(fixture.log.jobs.roster().workers_size(), 1);
+  leaving.partitioned = true;
+  first.scheduler->on_worker_gone(leaving.entry.id);
+  fixture.timer.advance(500ms);
+  cr_assert_eq(fixture.log.jobs.roster().workers_size(), 1);
+}
+
 // Guards against runs that stay on a worker on which nothing makes progress.
 Test(scheduler, moves_runs_that_stand_still) {
   FleetFixture fixture(3);
