Infer nothing from a reply whose list of ends is full

A worker lists at most 500 ended runs at a time; a run that had ended beyond them was neither listed as running nor as ended, counted as vanished, and was started again.

--- a/include/arbutusdale/sched/worker_orders.hpp
+++ b/include/arbutusdale/sched/worker_orders.hpp
@@ -126,6 +126,9 @@
   std::string checkpoint;  // empty: none
 };
 
+/// Most ended runs in one reply to a poll; the others follow once these are acknowledged.
+inline constexpr std::size_t k_max_listed_ends = 500;
+
 struct PollReply {
   std::uint64_t clock_ms = 0;
   std::uint64_t incarnation = 0;  // 0: not given
--- a/src/arbutusdale/sched/fake_fleet_test.hpp
+++ b/src/arbutusdale/sched/fake_fleet_test.hpp
@@ -401,7 +401,9 @@
     PollReply reply;
     reply.clock_ms = clock_of(worker);
     reply.incarnation = worker.entry.incarnation;
-    reply.ended = worker.ended;
+    const auto listed = std::min(worker.ended.size(), k_max_listed_ends);
+    reply.ended.assign(worker.ended.begin(),
+                       worker.ended.begin() + static_cast<std::ptrdiff_t>(listed));
     for (const FakeRun& run : worker.runs) {
       const Duration work = work_of(run.task);
       const auto percent = std::min<std::int64_t>(100, 100 * run.worked.count() / work.count());
--- a/src/arbutusdale/sched/scheduler_runs.cpp
+++ b/src/arbutusdale/sched/scheduler_runs.cpp
@@ -198,6 +198,9 @@
 // order about the run.
 void Scheduler::drop_missing_runs(Worker& worker, const PollReply& reply,
                                   const PollContext& context) {
+  if (reply.ended.size() >= k_max_listed_ends) {
+    return;  // the end may not be listed yet
+  }
   for (const RunRef& ref : std::vector<RunRef>(worker.runs)) {
     Run* run = ref.task->find_run(ref.number);
     if (run == nullptr) {
--- a/src/arbutusdale/sched/scheduler_test.cpp
+++ b/src/arbutusdale/sched/scheduler_test.cpp
@@ -423,3 +423,22 @@
   cr_assert_eq(fixture.fleet.doubled, 0U);
   cr_assert(leader.state(1) == JobState::COMPLETED);
 }
+
+// Guards against a run that counts as ended because its end is beyond the first 500 of a reply.
+Test(scheduler, a_run_whose_end_is_beyond_the_longest_reply_is_not_started_again) {
+  FleetFixture f(1, 200'000);
+  f.fleet.work_of = [](const jobs::TaskId&) { return 3s; };
+  LeaderFixture leader(f.timer, f.fleet, f.log);
+  f.timer.advance(1s);
+  JobBuilder job(1);
+  job.step(600, 100);
+  leader.submit(job);
+  f.timer.advance(2500ms);
+  f.fleet.work_of = [](const jobs::TaskId&) { return 1ms; };
+  f.log.down = true;
+  f.timer.advance(3s);
+  f.log.down = false;
+  f.timer.advance(10s);
+  cr_expect_geq(f.fleet.starts, 600U);
+  cr_assert_eq(f.fleet.started_after_done, 0U);
+}
