Count a partition as read only at its end

A read returns at most a megabyte. A follower took any reply for the whole rest of the partition, so a new leader with a backlog could poll workers and acknowledge ends of jobs that it had not read.

--- a/src/arbutusdale/store/partition_follower.cpp
+++ b/src/arbutusdale/store/partition_follower.cpp
@@ -126,6 +126,11 @@
     m_read_latency += (m_timer.now() - sent - m_read_latency) / k_latency_smoothing_divisor;
   }
   m_next_offset = std::max(m_next_offset, reply.next_offset);
+  if (m_next_offset < reply.end) {
+    // The reply was not large enough for all records.
+    schedule(reply.records.empty() ? k_retry_delay : Duration::zero(), &PartitionFollower::read);
+    return;
+  }
   // The store returns an empty reply only after the full wait.
   const Duration waited_for = std::chrono::milliseconds{m_options.wait_ms};
   const bool waited_in_full = !has_records && m_timer.now() - sent >= waited_for;
@@ -162,6 +167,11 @@
                    m_listener.on_record(record);
                  }
                  m_next_offset = std::max(m_next_offset, reply->next_offset);
+                 if (m_next_offset < reply->end) {
+                   schedule(reply->records.empty() ? k_retry_delay : Duration::zero(),
+                            &PartitionFollower::catch_up);
+                   return;
+                 }
                  m_fresh_as_of = std::max(*m_fresh_as_of, sent);
                  m_listener.on_caught_up();
                });
--- a/src/arbutusdale/store/store_test.cpp
+++ b/src/arbutusdale/store/store_test.cpp
@@ -31,6 +31,37 @@
   return {store, timer, k_partition, "writer", epoch, 1};
 }
 
+/// Returns at most two records for each read, as the platform's store returns at most MaxKb.
+class BoundedReads final : public MetadataStore {
+ public:
+  explicit BoundedReads(FakeStore& inner) : m_inner(inner) {}
+  void append(AppendRequest request, AppendDone done) override {
+    m_inner.append(std::move(request), std::move(done));
+  }
+  void read(ReadRequest request, ReadDone done) override {
+    const auto from = request.from;
+    m_inner.read(std::move(request), [from, done](tl::expected<ReadReply, ReadError> r) {
+      if (r && r->records.size() > 2) {
+        r->records.resize(2);
+        r->next_offset = from + 2;
+      }
+      done(std::move(r));
+    });
+  }
+  void scan(Partition p, std::string after, ScanDone done) override {
+    m_inner.scan(std::move(p), std::move(after), std::move(done));
+  }
+
+ private:
+  FakeStore& m_inner;
+};
+
+/// Counts records.
+struct RecordCount final : PartitionListener {
+  std::size_t seen = 0;
+  void on_record(const Record&) override { ++seen; }
+};
+
 }  // namespace
 
 // Guards against a follower that loses records between the pages of its scan and its first read.
@@ -247,3 +278,27 @@
   cr_assert_leq(commit.last_success_sent()->time_since_epoch().count(),
                 first_sent.time_since_epoch().count());
 }
+
+// Guards against a leader that takes the jobs for read though a read returned only some of them.
+Test(partition_follower, a_partial_read_is_not_fresh) {
+  FakeTimer timer;
+  FakeStore inner(timer);
+  BoundedReads bounded(inner);
+  RecordCount count;
+  const Partition partition{"t", 0};
+  inner.put(partition, "a", "1");
+  PartitionFollower follower(bounded, timer, {partition, 1'000, 300ms}, count);
+  follower.start();
+  timer.advance(100ms);
+  const std::size_t before = count.seen;
+  for (int i = 0; i < 9; ++i) {
+    inner.put(partition, "k" + std::to_string(i), "1");
+  }
+  timer.advance(6ms);  // the pending read has returned the first two
+  const TimePoint began = timer.now();
+  follower.catch_up();
+  timer.advance(30ms);
+  if (follower.fresh_as_of() >= began) {
+    cr_assert_eq(count.seen - before, 9U, "caught up after %zu of 9 records", count.seen - before);
+  }
+}
