Count a claim without a reply from its first attempt

Found in review by reading, no test: a claim that was carried out late is confirmed by the repeat with the same token, and the leadership counted from the repeat, as with repeated appends.

--- a/src/arbutusdale/fleet/node.cpp
+++ b/src/arbutusdale/fleet/node.cpp
@@ -242,6 +242,10 @@
   claim.fencing_token = end + 1;
   claim.claim_sequence = stable_hash(m_deps.incarnation) % k_claim_sequence_count;
   claim.claimed_at = m_deps.timer.now();
+  if (m_pending_claim && m_pending_claim->fencing_token == claim.fencing_token) {
+    // The store may confirm the earlier claim, from whose record the other daemons count.
+    claim.claimed_at = m_pending_claim->claimed_at;
+  }
 
   jobs::Leadership record;
   record.set_daemon(claim.daemon);
