--- a/src/arbutusdale/sched/scheduler.cpp
+++ b/src/arbutusdale/sched/scheduler.cpp
@@ -208,15 +208,21 @@
   if (m_flushing) {
     return;
   }
-  std::vector<std::pair<WorkerSlot, std::uint64_t>> processed;
+  std::vector<ProcessedEnds> processed;
   for (const auto& worker : m_workers.all()) {
     if (worker->processed_through > worker->stored_through) {
-      processed.emplace_back(worker->slot, worker->processed_through);
+      processed.push_back({worker->slot, worker->entry.incarnation, worker->processed_through});
     }
   }
   std::vector<store::KeyedValue> entries;
+  std::vector<WorkerSlot> roster_additions;
   if (auto roster = roster_entry()) {
     entries.push_back(std::move(*roster));
+    for (const auto& worker : m_workers.all()) {
+      if (may_have_runs(*worker) && !worker->in_roster) {
+        roster_additions.push_back(worker->slot);
+      }
+    }
   }
   // Interference evidence is stored only together with progress, to save writes.
   if (m_evidence_due && !m_dirty.empty()) {
@@ -227,14 +233,6 @@
     on_flushed(true, {}, processed);
     return;
   }
-  std::vector<WorkerSlot> roster_additions;
-  if (!entries.empty()) {
-    for (const auto& worker : m_workers.all()) {
-      if (worker->registered && !worker->in_roster) {
-        roster_additions.push_back(worker->slot);
-      }
-    }
-  }
   std::vector<jobs::JobId> written;
   for (const jobs::JobId& id : std::exchange(m_dirty, {})) {
     const Job* job = m_tasks.find(id);
@@ -262,7 +260,7 @@
 }
 
 void Scheduler::on_flushed(bool stored, const std::vector<jobs::JobId>& written,
-                           const std::vector<std::pair<WorkerSlot, std::uint64_t>>& processed) {
+                           const std::vector<ProcessedEnds>& processed) {
   if (!stored) {
     m_dirty.insert(written.begin(), written.end());
     return;
@@ -273,10 +271,13 @@
       job->end_stored = true;
     }
   }
-  for (const auto& [slot, through] : processed) {
-    Worker& worker = m_workers.at(slot);
+  for (const ProcessedEnds& ends : processed) {
+    Worker& worker = m_workers.at(ends.slot);
     // After a restart of the worker its ended runs are numbered from the start again.
-    worker.stored_through = std::min(through, worker.processed_through);
+    if (worker.entry.incarnation != ends.incarnation) {
+      continue;
+    }
+    worker.stored_through = std::max(worker.stored_through, ends.through);
     schedule_poll(worker, Duration::zero());
   }
 }
@@ -306,7 +307,7 @@
   }
   const auto& workers = m_workers.all();
   return m_workers_loaded && std::all_of(workers.begin(), workers.end(), [](const auto& worker) {
-           return worker->has_answered || !(worker->registered || worker->in_earlier_roster);
+           return worker->has_answered || !worker->in_earlier_roster;
          });
 }
 
@@ -315,7 +316,9 @@
   const bool added = !worker.registered;
   const bool state_changed = !added && worker.entry.state != entry.state;
   const std::uint64_t known = worker.entry.incarnation;
-  const bool may_have_restarted = known != 0 && entry.incarnation > known;
+  const bool may_have_restarted =
+      known != 0 && entry.incarnation != known && entry.incarnation != worker.announced_incarnation;
+  worker.announced_incarnation = entry.incarnation;
   worker.entry = entry;
   worker.entry.incarnation = known == 0 ? entry.incarnation : known;
   worker.registered = true;
@@ -332,8 +335,9 @@
         .add("remaining_ms", entry.remaining_ms)
         .write();
   }
-  if (may_have_restarted) {
+  if (may_have_restarted && worker.poll_in_flight) {
     abandon_poll(worker);
+    ++worker.unanswered_polls;
   }
   if (added || may_have_restarted) {
     schedule_poll(worker, Duration::zero());
@@ -361,20 +365,29 @@
   }
 }
 
-// Whether a run that some leader has started may be alive on the worker or may still start there.
+// Whether a run that some leader has started may be alive on the worker, or may start there from
+// now on. A worker that has never answered gets no starts, and the next leader need not wait for
+// it.
 bool Scheduler::may_have_runs(const Worker& worker) const {
   const TimePoint now = m_timer.now();
   const bool awaiting_first_answer = worker.in_earlier_roster && !worker.has_answered &&
                                      now - m_started_at <= k_earlier_lease_bound;
+  const bool may_get_starts =
+      worker.registered && worker.has_answered && worker.entry.state == WorkerState::ready;
+  // The last answer listed no run, and no start has been left unanswered.
+  const bool is_empty = worker.has_answered && worker.runs.empty() && !worker.has_unwanted_runs &&
+                        worker.unanswered.empty();
   const bool may_run = now <= worker.lease.expires_at();
-  return worker.registered || !worker.runs.empty() || awaiting_first_answer || may_run;
+  return may_get_starts || !worker.runs.empty() || awaiting_first_answer || (may_run && !is_empty);
 }
 
 // The new roster, if the stored one lacks a registered worker or names one that is gone.
 std::optional<store::KeyedValue> Scheduler::roster_entry() {
   const auto& workers = m_workers.all();
   const bool needed = std::any_of(workers.begin(), workers.end(), [this](const auto& worker) {
-    return worker->registered != worker->in_roster && may_have_runs(*worker) != worker->in_roster;
+    // Others are added with their first answer, and stay while they are registered.
+    const bool is_leaving = worker->entry.state == WorkerState::draining || !worker->registered;
+    return is_leaving == worker->in_roster && may_have_runs(*worker) != worker->in_roster;
   });
   if (!needed) {
     return std::nullopt;
