--- a/src/arbutusdale/sched/scheduler_polling.cpp
+++ b/src/arbutusdale/sched/scheduler_polling.cpp
@@ -67,7 +67,7 @@
 void Scheduler::send_poll(Worker& worker) {
   const bool needed = worker.registered || !worker.runs.empty() ||
                       (worker.in_earlier_roster && !worker.has_answered);
-  if (!m_may_poll || !needed || !m_jobs_caught_up) {
+  if (!may_poll() || !needed || !m_jobs_caught_up) {
     return;  // tick() tries again
   }
   const TimePoint now = m_timer.now();
@@ -417,11 +417,13 @@
   if (!worker.lease.knows_clock()) {
     return worker.last_answer + k_late_order_bound;
   }
+  // A worker has one lease for all its runs, which also an earlier leader may have extended.
+  const TimePoint earlier = m_has_predecessor ? earlier_leases_expire_at() : TimePoint{};
   if (worker.lease.expires_at() != TimePoint{}) {
-    return worker.lease.expires_at();
+    return std::max(worker.lease.expires_at(), earlier);
   }
   // This leader has adopted the runs and has not renewed their leases yet.
-  return std::max(earlier_leases_expire_at(), worker.last_answer + k_first_renewal_bound);
+  return std::max(earlier, worker.last_answer + k_first_renewal_bound);
 }
 
 void Scheduler::check_lease(Worker& worker) {
