Hand over only when the next leader can take over at once

A zone was cut off and the store away; a weaker daemon claimed at 38.8 s, and its taken over jobs waited for the workers behind the cut. At 43.9 s it handed over to a stronger one, which had to wait for the same workers anew, so that lapsed tasks stood still for 12 s.

A leader that carries its work now hands over only after five seconds in which every worker that may have runs has answered; one that lags still does at once. The new test failed before.

--- a/include/arbutusdale/fleet/handover_policy.hpp
+++ b/include/arbutusdale/fleet/handover_policy.hpp
@@ -13,6 +13,8 @@
 struct LeaderLoad {
   bool stronger_in_touch = false;
   std::optional<TimePoint> lagging_since;  // empty while it carries its work
+  /// Another leader need not wait for leases to expire.
+  bool can_be_taken_over_at_once = true;
 };
 
 class HandoverPolicy {
@@ -21,11 +23,12 @@
   /// a handover.
   bool should_hand_over(TimePoint now, const LeaderLoad& load);
   /// This daemon does not lead any more.
-  void on_leadership_lost() { m_stronger_since.reset(); }
+  void on_leadership_lost() { m_settled_since.reset(); }
 
  private:
-  std::optional<TimePoint> m_stronger_since;  // a stronger daemon is in touch since then
-  std::optional<TimePoint> m_not_before;      // earliest next handover
+  /// Since then a stronger daemon is in touch and could take over at once.
+  std::optional<TimePoint> m_settled_since;
+  std::optional<TimePoint> m_not_before;  // earliest next handover
   Duration m_min_interval = k_first_interval;
 
   static constexpr Duration k_first_interval = std::chrono::seconds{30};
--- a/include/arbutusdale/sched/scheduler.hpp
+++ b/include/arbutusdale/sched/scheduler.hpp
@@ -93,6 +93,9 @@
   [[nodiscard]] std::uint64_t workers_examined() const { return m_workers_examined; }
   [[nodiscard]] const WorkerTable& workers() const { return m_workers; }
   [[nodiscard]] TaskTable& tasks() { return m_tasks; }
+  /// True when every worker that may have runs answers polls, so that another leader can take over
+  /// without waiting for leases to expire.
+  [[nodiscard]] bool can_be_taken_over_at_once() const;
   /// True when no progress waits to be stored.
   [[nodiscard]] bool is_flushed() const { return m_dirty.empty() && !m_flushing; }
 
--- a/src/arbutusdale/fleet/handover_policy.cpp
+++ b/src/arbutusdale/fleet/handover_policy.cpp
@@ -7,20 +7,24 @@
 namespace {
 
 constexpr Duration k_lagging_time = std::chrono::seconds{1};
-// A leader that carries its work waits for a while, since jobs wait during a change of leader.
+// A leader that carries its work waits for a while, since jobs wait during a change of leader, and
+// as long as a worker is out of reach, for whose leases the next leader would wait anew.
 constexpr Duration k_settle_time = std::chrono::seconds{5};
 constexpr Duration k_max_interval = std::chrono::seconds{240};
 
 }  // namespace
 
 bool HandoverPolicy::should_hand_over(TimePoint now, const LeaderLoad& load) {
+  if (!load.stronger_in_touch || !load.can_be_taken_over_at_once) {
+    m_settled_since.reset();
+  } else {
+    m_settled_since = m_settled_since.value_or(now);
+  }
   if (!load.stronger_in_touch) {
-    m_stronger_since.reset();
     return false;
   }
-  m_stronger_since = m_stronger_since.value_or(now);
   const bool lags = load.lagging_since && now - *load.lagging_since >= k_lagging_time;
-  const bool settled = now - *m_stronger_since >= k_settle_time;
+  const bool settled = m_settled_since && now - *m_settled_since >= k_settle_time;
   if ((!lags && !settled) || (m_not_before && now < *m_not_before)) {
     return false;
   }
--- a/src/arbutusdale/fleet/node.cpp
+++ b/src/arbutusdale/fleet/node.cpp
@@ -189,7 +189,8 @@
 // heartbeats.
 void Node::hand_over_if_overloaded() {
   const TimePoint now = m_deps.timer.now();
-  const LeaderLoad load{m_stronger.are_in_touch(now), m_lag.lagging_since()};
+  const LeaderLoad load{m_stronger.are_in_touch(now), m_lag.lagging_since(),
+                        m_leader->scheduler().can_be_taken_over_at_once()};
   if (m_handing_over || m_stopping || !m_handover.should_hand_over(now, load)) {
     return;
   }
--- a/src/arbutusdale/fleet/weak_leader_test.cpp
+++ b/src/arbutusdale/fleet/weak_leader_test.cpp
@@ -74,6 +74,25 @@
   cr_assert_leq(without_leader.count(), Duration{1s}.count());
 }
 
+// Guards against lasting tasks that wait for leases to expire twice in a row: the leader hands over
+// although a worker is out of reach, for which the next leader has to wait anew.
+Test(weak_leader, does_not_hand_over_while_a_worker_is_out_of_reach) {
+  Cluster cluster(0);
+  cluster.fleet.work_of = [](const jobs::TaskId&) { return 60s; };
+  cluster.add(k_weak);
+  cluster.timer.advance(2s);
+  cluster.submit(0, 1, 8);
+  cluster.timer.advance(1s);
+  const std::string busy = cluster.fleet.at("w0").runs.empty() ? "w1" : "w0";
+  cluster.add(k_strong);
+  cluster.daemons[0]->orders.path(busy).fault = PathFault::silent;
+  std::uint32_t number = 1;
+  advance_under_load(cluster, 1, 8, number);
+  cr_assert_eq(cluster.leader(), 0U);
+  advance_under_load(cluster, 1, 9, number);
+  cr_assert_eq(cluster.leader(), 1U, "the runs there have ended with their leases");
+}
+
 // Guards against a weak daemon that claims at once after its own restart, before stronger daemons
 // can notice that the leader has ended.
 Test(weak_leader, a_restarted_weak_leader_leaves_the_claim_to_stronger_daemons) {
--- a/src/arbutusdale/sched/scheduler.cpp
+++ b/src/arbutusdale/sched/scheduler.cpp
@@ -311,6 +311,14 @@
          });
 }
 
+bool Scheduler::can_be_taken_over_at_once() const {
+  const auto& workers = m_workers.all();
+  return may_start_taken_over_jobs() &&
+         std::all_of(workers.begin(), workers.end(), [this](const auto& worker) {
+           return !may_have_runs(*worker) || worker->is_reachable(m_timer.now());
+         });
+}
+
 void Scheduler::on_worker_updated(const WorkerEntry& entry) {
   Worker& worker = m_workers.get_or_add(entry.id);
   const bool added = !worker.registered;
