Log the incarnation with every event of a run

The log could not tell whether a run that a worker lists unexpectedly had been sent to that incarnation or to an earlier one: run_ordered, run_adopted, run_ended and the stop of an unexpected run named only the worker's id. They now name the incarnation, too. No decision is changed. sched_test: 76 passed; fleet_test: 34 passed.

--- a/src/arbutusdale/sched/scheduler_orders.cpp
+++ b/src/arbutusdale/sched/scheduler_orders.cpp
@@ -60,6 +60,7 @@
       .add("task", task.index)
       .add("run", number)
       .add("worker", worker.entry.id)
+      .add("incarnation", worker.entry.incarnation)
       .add("image", step.spec->image())
       .add_ms("waited_ms", now - task.ready_at)
       .add("free_cpu_millis", worker.entry.capacity.cpu_millis - worker.committed.cpu_millis)
@@ -269,6 +270,7 @@
       .add("task", id.index)
       .add("run", number)
       .add("worker", worker.entry.id)
+      .add("incarnation", worker.entry.incarnation)
       .add("reason", "it is not expected there")
       .write();
   m_orders.stop(worker.endpoint(), {id, number, m_options.fencing_token},
--- a/src/arbutusdale/sched/scheduler_runs.cpp
+++ b/src/arbutusdale/sched/scheduler_runs.cpp
@@ -55,6 +55,7 @@
       .add("task", end.task.index)
       .add("run", end.run)
       .add("worker", worker.entry.id)
+      .add("incarnation", worker.entry.incarnation)
       .add("how", enum_name(k_outcome_names, end.outcome))
       .add("number", end.sequence)
       .write();
@@ -154,6 +155,7 @@
         .add("task", row.task.index)
         .add("run", row.run)
         .add("worker", worker.entry.id)
+        .add("incarnation", worker.entry.incarnation)
         .write();
   }
   run->listed = true;
