Withhold starts from a restarted worker while an order to its earlier incarnation may act

A poll without an answer may be carried out late, by the next incarnation of a worker that keeps its id. It then acknowledges ends that the leader has not processed, so that the success of a run is lost and the task starts again; or it extends a lease by the earlier clock, beyond the time at which the leader takes the runs for ended.

After such a restart, the worker now gets no starts until k_late_order_bound after the sending of the last unanswered poll or start, if that order carried a lease or an acknowledgement. At most a quarter of a service's ready workers is withheld at a time, so that a series of restarts leaves the service usable; beyond that share the risk remains. The share counts by service and ready workers, not by registered ones, since the others could not take the starts. Stops are not counted, since a late stop names a run number that is never used again. The event worker_withheld names the reason.

--- a/include/arbutusdale/observe/event_log.hpp
+++ b/include/arbutusdale/observe/event_log.hpp
@@ -30,6 +30,7 @@
   worker_gone,
   worker_lost,
   worker_quarantined,
+  worker_withheld,
   job_accepted,
   job_refused,
   job_unresolved,
--- a/include/arbutusdale/sched/scheduler.hpp
+++ b/include/arbutusdale/sched/scheduler.hpp
@@ -180,10 +180,14 @@
   void schedule_poll(Worker& worker, Duration delay);
   void on_poll_reply(const PollContext& context, const tl::expected<PollReply, OrderError>& reply);
   void on_poll_error(Worker& worker, const OrderError& error);
+  static void note_unanswered_poll(Worker& worker);
   static void abandon_poll(Worker& worker);
   void begin_incarnation(Worker& worker, std::uint64_t incarnation);
   void resolve_run_after_restart(Worker& worker, const RunRef& ref);
   void stop_late_starts(Worker& worker);
+  void withhold_if_unreliable(Worker& worker);
+  void limit_withheld_workers();
+  [[nodiscard]] bool may_withhold_another(const std::string& service) const;
   void update_typical_speed();
   /// Time after which no known run of the worker is alive.
   [[nodiscard]] TimePoint leases_expire_at(const Worker& worker) const;
--- a/include/arbutusdale/sched/worker_table.hpp
+++ b/include/arbutusdale/sched/worker_table.hpp
@@ -8,6 +8,7 @@
 #include "arbutusdale/sched/worker_lease.hpp"
 #include "arbutusdale/sched/worker_orders.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -19,6 +20,13 @@
 /// An order without an answer is carried out within this time, if at all.
 inline constexpr Duration k_late_order_bound = std::chrono::seconds{20};
 
+/// Inverse of the largest share of a service's ready workers that get no starts because an order of
+/// their earlier incarnation may still be carried out. The others of a series of restarts get
+/// starts, so that the service stays usable. Their next incarnation may then still forget an end
+/// that was not processed or take a lease for longer than the leader knows, so that a task starts
+/// twice.
+inline constexpr std::size_t k_withheld_divisor = 4;
+
 /// A run of a task.
 struct RunRef {
   Task* task = nullptr;
@@ -50,6 +58,7 @@
   std::uint64_t poll_serial = 0;  // of the last poll sent or scheduled
   std::uint32_t unanswered_polls = 0;
   TimePoint last_answer{};
+  TimePoint binding_poll_at{};  // sending of the poll in flight, if it is one as noted below
 
   std::uint64_t processed_through = 0;  // sequence of the last ended run processed
   /// Sequence of the last ended run whose effect is stored; never above processed_through.
@@ -60,6 +69,12 @@
   std::uint64_t opportunistic_cpu_millis = 0;
   std::vector<RunRef> runs;
   std::vector<UnansweredStart> unanswered;  // since k_late_order_bound
+  /// Sending of the last poll or start without an answer that carries a lease or an
+  /// acknowledgement, to this incarnation and to earlier ones. Zero when there was none. A late
+  /// stop is harmless, since run numbers are never used again.
+  TimePoint unanswered_order_at{};
+  TimePoint foreign_order_at{};
+  TimePoint withheld_until{};  // gets no starts before, since its ends and leases are not reliable
 
   ThrottleControl throttle_control;
   bool polled_frequently = false;  // because it runs harmful opportunistic tasks
@@ -93,11 +108,25 @@
   [[nodiscard]] bool may_still_start(const jobs::TaskId& task, std::uint32_t run,
                                      TimePoint now) const;
 
+  /// Remembers that a poll or start that was sent to `incarnation` at `sent_at` may still be
+  /// carried out. It must carry a lease or an acknowledgement.
+  void note_unanswered_order(std::uint64_t incarnation, TimePoint sent_at);
+  /// Time until which an order that was sent to an earlier incarnation may be carried out by this
+  /// one. In the past, or zero, when there is none.
+  [[nodiscard]] TimePoint foreign_orders_end_at() const;
+  [[nodiscard]] bool is_withheld(TimePoint now) const { return now < withheld_until; }
+
   void note_success();
   /// Returns true when the failures in a row start a quarantine.
   bool note_failure(TimePoint now);
 };
 
+/// Ready workers of a service, and how many of them are withheld.
+struct WithheldCount {
+  std::size_t ready = 0;
+  std::size_t withheld = 0;
+};
+
 /// All workers known to the leader. Workers are never removed.
 class WorkerTable {
  public:
@@ -107,6 +136,7 @@
   [[nodiscard]] Worker& at(WorkerSlot slot) { return *m_workers.at(slot); }
   [[nodiscard]] const Worker& at(WorkerSlot slot) const { return *m_workers.at(slot); }
   [[nodiscard]] const std::vector<std::unique_ptr<Worker>>& all() const { return m_workers; }
+  [[nodiscard]] WithheldCount count_withheld(const std::string& service, TimePoint now) const;
 
  private:
   std::vector<std::unique_ptr<Worker>> m_workers;  // by slot
--- a/src/arbutusdale/observe/event_log.cpp
+++ b/src/arbutusdale/observe/event_log.cpp
@@ -16,7 +16,7 @@
 namespace arbutusdale::observe {
 namespace {
 
-constexpr EnumNames<Event, 36> k_event_names{{
+constexpr EnumNames<Event, 37> k_event_names{{
     {Event::process_started, "process_started"},
     {Event::process_stopping, "process_stopping"},
     {Event::process_stopped, "process_stopped"},
@@ -33,6 +33,7 @@
     {Event::worker_gone, "worker_gone"},
     {Event::worker_lost, "worker_lost"},
     {Event::worker_quarantined, "worker_quarantined"},
+    {Event::worker_withheld, "worker_withheld"},
     {Event::job_accepted, "job_accepted"},
     {Event::job_refused, "job_refused"},
     {Event::job_unresolved, "job_unresolved"},
--- a/src/arbutusdale/sched/placement.cpp
+++ b/src/arbutusdale/sched/placement.cpp
@@ -90,7 +90,7 @@
 
 bool accepts_tasks(const Worker& worker, const std::string& service, TimePoint now) {
   return worker.registered && worker.entry.state == WorkerState::ready &&
-         !worker.has_unwanted_runs && now >= worker.quarantined_until &&
+         !worker.has_unwanted_runs && !worker.is_withheld(now) && now >= worker.quarantined_until &&
          now >= worker.backoff_until && worker.is_reachable(now) && worker.entry.service == service;
 }
 
--- a/src/arbutusdale/sched/restarted_worker_test.cpp
+++ b/src/arbutusdale/sched/restarted_worker_test.cpp
@@ -201,3 +201,25 @@
     }
   }
 }
+
+// Guards against a worker that is withheld although no order to its earlier incarnation is
+// unanswered.
+Test(restarted_worker, a_restart_between_two_polls_withholds_nothing) {
+  FleetFixture f(4);
+  LeaderFixture leader(f.timer, f.fleet, f.log);
+  f.timer.advance(1s);
+  const Worker& worker = *leader.scheduler->workers().all().front();
+  const std::string id = worker.entry.id;
+  for (int i = 0; i < 1'000 && worker.poll_in_flight; ++i) {
+    f.timer.advance(1ms);
+  }
+  cr_assert(!worker.poll_in_flight);
+  f.fleet.restart(id);
+  f.timer.advance(1s);
+  cr_assert_eq(worker.entry.incarnation, 2U);
+  JobBuilder job(1);
+  job.step(32, 1'000);
+  leader.submit(job);
+  f.timer.advance(500ms);
+  cr_assert(!f.fleet.at(id).runs.empty());
+}
--- a/src/arbutusdale/sched/scheduler.cpp
+++ b/src/arbutusdale/sched/scheduler.cpp
@@ -344,6 +344,7 @@
         .write();
   }
   if (may_have_restarted && worker.poll_in_flight) {
+    note_unanswered_poll(worker);
     abandon_poll(worker);
     ++worker.unanswered_polls;
   }
@@ -445,6 +446,7 @@
 }
 
 void Scheduler::tick() {
+  limit_withheld_workers();
   for (const auto& worker : m_workers.all()) {
     check_lease(*worker);
     if (worker->entry.state == WorkerState::draining) {
--- a/src/arbutusdale/sched/scheduler_orders.cpp
+++ b/src/arbutusdale/sched/scheduler_orders.cpp
@@ -97,7 +97,10 @@
                          m_timer.now());
                      observe::record_timing(observe::Timing::start_call, m_timer.now() - sent);
                      if (!reply && reply.error().reason == OrderFailure::unknown) {
-                       m_workers.at(slot).note_unanswered_start(id, number, sent);
+                       Worker& used = m_workers.at(slot);
+                       used.note_unanswered_start(id, number, sent);
+                       used.note_unanswered_order(endpoint.incarnation, sent);
+                       withhold_if_unreliable(used);
                      }
                      on_start_reply(id, number, endpoint, reply);
                      process_pending();
--- a/src/arbutusdale/sched/scheduler_polling.cpp
+++ b/src/arbutusdale/sched/scheduler_polling.cpp
@@ -63,6 +63,9 @@
     order.wait_ms = worker.processed_through > worker.stored_through ? 0 : wait_ms;
   }
   worker.poll_in_flight = true;
+  // An order without a lease and an acknowledgement has no effect that outlives it.
+  const bool binds = order.lease_until_ms.has_value() || order.acknowledged_through > 0;
+  worker.binding_poll_at = binds ? now : TimePoint{};
   const PollContext context{worker.slot, ++worker.poll_serial, worker.entry.incarnation, now};
   m_orders.poll(worker.endpoint(), order,
                 [this, alive = m_alive, context](const tl::expected<PollReply, OrderError>& reply) {
@@ -81,6 +84,9 @@
   }
   worker.poll_in_flight = false;
   if (!reply) {
+    if (reply.error().reason == OrderFailure::unknown) {
+      note_unanswered_poll(worker);
+    }
     on_poll_error(worker, reply.error());
     return;
   }
@@ -129,6 +135,12 @@
   schedule_poll(worker, is_unknown ? k_unknown_poll_interval : k_poll_retry_interval);
 }
 
+void Scheduler::note_unanswered_poll(Worker& worker) {
+  if (worker.binding_poll_at != TimePoint{}) {
+    worker.note_unanswered_order(worker.entry.incarnation, worker.binding_poll_at);
+  }
+}
+
 // Ignores the reply to the poll in flight, so that the next one can be sent at once.
 void Scheduler::abandon_poll(Worker& worker) {
   worker.poll_in_flight = false;
@@ -154,12 +166,52 @@
   worker.processed_through = 0;
   worker.stored_through = 0;
   abandon_poll(worker);
+  worker.foreign_order_at = std::max(worker.foreign_order_at, worker.unanswered_order_at);
+  worker.unanswered_order_at = TimePoint{};
+  worker.withheld_until = TimePoint{};
+  withhold_if_unreliable(worker);
   for (const RunRef& ref : std::vector<RunRef>(worker.runs)) {
     resolve_run_after_restart(worker, ref);
   }
   stop_late_starts(worker);
 }
 
+// What a worker lists of ended runs, and its lease, may be the effect of an order that was sent to
+// an earlier incarnation, as long as such an order may be carried out.
+void Scheduler::withhold_if_unreliable(Worker& worker) {
+  const TimePoint until = worker.foreign_orders_end_at();
+  const bool is_new = !worker.is_withheld(m_timer.now());
+  if (until <= m_timer.now() || until == worker.withheld_until ||
+      (is_new && !may_withhold_another(worker.entry.service))) {
+    return;
+  }
+  worker.withheld_until = until;
+  EventLine(Event::worker_withheld)
+      .add("worker", worker.entry.id)
+      .add("incarnation", worker.entry.incarnation)
+      .add("reason", "an order to its earlier incarnation is unanswered")
+      .add_ms("for_ms", until - m_timer.now())
+      .write();
+}
+
+bool Scheduler::may_withhold_another(const std::string& service) const {
+  const auto [ready, withheld] = m_workers.count_withheld(service, m_timer.now());
+  return (withheld + 1) * k_withheld_divisor <= ready;
+}
+
+// Workers that have left since may have made the withheld ones too large a share.
+void Scheduler::limit_withheld_workers() {
+  for (const auto& worker : m_workers.all()) {
+    if (!worker->is_withheld(m_timer.now())) {
+      continue;
+    }
+    const auto [ready, withheld] = m_workers.count_withheld(worker->entry.service, m_timer.now());
+    if (withheld * k_withheld_divisor > ready) {
+      worker->withheld_until = TimePoint{};
+    }
+  }
+}
+
 // A run has ended with the earlier incarnation if it had begun there and no order is outstanding
 // that could start it again.
 void Scheduler::resolve_run_after_restart(Worker& worker, const RunRef& ref) {
--- a/src/arbutusdale/sched/worker_table.cpp
+++ b/src/arbutusdale/sched/worker_table.cpp
@@ -81,6 +81,15 @@
   });
 }
 
+void Worker::note_unanswered_order(std::uint64_t incarnation, TimePoint sent_at) {
+  TimePoint& last = incarnation == entry.incarnation ? unanswered_order_at : foreign_order_at;
+  last = std::max(last, sent_at);
+}
+
+TimePoint Worker::foreign_orders_end_at() const {
+  return foreign_order_at == TimePoint{} ? TimePoint{} : foreign_order_at + k_late_order_bound;
+}
+
 void Worker::note_success() {
   failures_in_row = 0;
   quarantines = 0;
@@ -106,6 +115,20 @@
   return *m_workers[found->second];
 }
 
+WithheldCount WorkerTable::count_withheld(const std::string& service, TimePoint now) const {
+  WithheldCount count;
+  for (const auto& worker : m_workers) {
+    const bool is_ready = worker->registered && worker->entry.state == WorkerState::ready &&
+                          worker->entry.service == service;
+    if (!is_ready) {
+      continue;
+    }
+    ++count.ready;
+    count.withheld += worker->is_withheld(now) ? 1 : 0;
+  }
+  return count;
+}
+
 Worker* WorkerTable::find(const std::string& id) {
   const auto found = m_slots.find(id);
   return found == m_slots.end() ? nullptr : m_workers[found->second].get();
