Let fake workers crash under tasks and return under another id

Fake workers listen at addresses of their own. A task can crash each worker that starts it; the worker returns at its address, under another id or the same one, and orders for the earlier id are answered as orders for another incarnation. The fixtures announce what the registrations say of it. Writes of an earlier term are also discarded if the later one begins while they are under way, as the store does.

--- a/src/arbutusdale/fleet/cluster_test.hpp
+++ b/src/arbutusdale/fleet/cluster_test.hpp
@@ -179,23 +179,17 @@
   DaemonOrders(sched::FakeFleet& fleet, store::FakeTimer& timer, FakeProcess& process)
       : m_fleet(fleet), m_timer(timer), m_process(process) {}
 
-  WorkerPath& path(const std::string& worker) {
-    auto& path = m_paths[worker];
-    if (!path) {
-      path = std::make_shared<WorkerPath>();
-    }
-    return *path;
-  }
+  WorkerPath& path(const std::string& worker) { return *path_to(m_fleet.address_of(worker)); }
 
   void poll(const sched::WorkerEndpoint& to, const sched::PollOrder& order,
             PollDone done) override {
     send<sched::PollReply>(
-        to, path(to.id).late_polls, std::move(done),
+        to, path_to(to.address)->late_polls, std::move(done),
         [=, &fleet = m_fleet](PollDone reply) { fleet.poll(to, order, std::move(reply)); });
   }
   void start(const sched::WorkerEndpoint& to, const sched::StartOrder& order, Done done) override {
     const auto call = [=, &fleet = m_fleet](const Done& reply) { fleet.start(to, order, reply); };
-    WorkerPath& used = path(to.id);
+    WorkerPath& used = *path_to(to.address);
     if (used.fault == PathFault::none && used.broken_starts > 0) {
       --used.broken_starts;
       m_timer.call_after(used.late_by, [call] { call([](const auto&) {}); });
@@ -209,7 +203,7 @@
   }
   void stop(const sched::WorkerEndpoint& to, const sched::RunOrder& order, Done done) override {
     send<sched::OrderReply>(
-        to, path(to.id).late_stops, std::move(done),
+        to, path_to(to.address)->late_stops, std::move(done),
         [=, &fleet = m_fleet](const Done& reply) { fleet.stop(to, order, reply); });
   }
   void throttle(const sched::WorkerEndpoint& to, const sched::ThrottleOrder& order,
@@ -224,6 +218,14 @@
   static constexpr Duration k_network_delay = std::chrono::milliseconds{2};
   static constexpr Duration k_answer_timeout = std::chrono::milliseconds{300};
 
+  const std::shared_ptr<WorkerPath>& path_to(const std::string& address) {
+    auto& path = m_paths[address];
+    if (!path) {
+      path = std::make_shared<WorkerPath>();
+    }
+    return path;
+  }
+
   template <typename Reply>
   using ReplyDone = std::function<void(tl::expected<Reply, sched::OrderError>)>;
 
@@ -236,8 +238,7 @@
         receive(tl::unexpected(sched::OrderError{reason, std::nullopt, "no path"}));
       });
     };
-    path(to.id);
-    const auto used = m_paths.at(to.id);
+    const auto used = path_to(to.address);
     if (used->fault == PathFault::refused) {
       fail_after(k_network_delay, sched::OrderFailure::connection_refused);
       return;
@@ -264,28 +265,53 @@
   sched::FakeFleet& m_fleet;
   store::FakeTimer& m_timer;
   FakeProcess& m_process;
-  std::map<std::string, std::shared_ptr<WorkerPath>> m_paths;  // by worker id
+  std::map<std::string, std::shared_ptr<WorkerPath>> m_paths;  // by address
 };
 
-/// Reports the registrations of all workers of a fake fleet once.
-class FakeDirectory final : public sched::WorkerDirectory {
+/// Reports the registrations of all workers of a fake fleet once, and the changes that the fleet
+/// announces.
+class FakeDirectory final : public sched::WorkerDirectory, public sched::WorkerListener {
  public:
   FakeDirectory(Timer& timer, sched::FakeFleet& fleet, sched::WorkerListener& listener)
-      : m_alive(std::make_shared<bool>(true)) {
-    timer.call_after(std::chrono::milliseconds{20}, [&fleet, &listener, alive = m_alive] {
-      if (!*alive) {
-        return;
-      }
-      for (const auto& [id, worker] : fleet.all()) {
-        listener.on_worker_updated(worker->entry);
+      : m_timer(timer), m_fleet(fleet), m_listener(listener) {
+    m_fleet.listeners.insert(this);
+    forward([this] {
+      for (const auto& [id, worker] : m_fleet.all()) {
+        if (worker->registered) {
+          m_listener.on_worker_updated(worker->entry);
+        }
       }
-      listener.on_workers_loaded();
+      m_listener.on_workers_loaded();
     });
   }
-  ~FakeDirectory() override { *m_alive = false; }
+  ~FakeDirectory() override {
+    m_fleet.listeners.erase(this);
+    *m_alive = false;
+  }
+
+  void on_worker_updated(const sched::WorkerEntry& entry) override {
+    forward([this, entry] { m_listener.on_worker_updated(entry); });
+  }
+  void on_worker_gone(const std::string& id) override {
+    forward([this, id] { m_listener.on_worker_gone(id); });
+  }
+  void on_workers_loaded() override {}
 
  private:
-  std::shared_ptr<bool> m_alive;
+  static constexpr Duration k_delay = std::chrono::milliseconds{20};
+
+  void forward(std::function<void()> report) {
+    m_timer.call_after(k_delay, [report = std::move(report), alive = m_alive] {
+      if (*alive) {
+        report();
+      }
+    });
+  }
+
+  Timer& m_timer;
+  sched::FakeFleet& m_fleet;
+  sched::WorkerListener& m_listener;
+  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
 /// Makes the directory of one daemon, on its view of the store and on its timer.
--- a/src/arbutusdale/sched/fake_fleet_test.hpp
+++ b/src/arbutusdale/sched/fake_fleet_test.hpp
@@ -5,6 +5,7 @@
 #include "arbutusdale/sched/scheduler.hpp"
 
 #include <algorithm>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -45,6 +46,17 @@
   bool fails_all_runs = false;       // every run fails
   bool refuses_connections = false;  // its runs continue
   bool crashed = false;              // its process has ended
+  bool registered = true;            // false once the registration of a crashed worker has expired
+};
+
+/// How a crashed worker returns.
+enum class Return : std::uint8_t { under_new_id, under_same_id, never };
+
+/// What has happened to one task.
+struct TaskCounts {
+  std::uint32_t starts = 0;
+  std::uint32_t crashes = 0;  // workers that crashed while it ran
+  std::uint32_t starts_after_three_crashes = 0;
 };
 
 /// Advice service that gives expiring tickets for the workers in `allowed`.
@@ -104,6 +116,16 @@
   /// Tail latency of a serving task in ms; CPU in use of other tasks, in thousandths.
   std::function<std::uint64_t(const FakeWorker&, const FakeRun&)> tail_or_cpu_of =
       [](const FakeWorker&, const FakeRun&) { return 0; };
+  /// Tasks that crash each worker that starts them, `crash_delay` after the start; with 0 before
+  /// the start is answered. The worker returns `return_delay` after the crash, at its address.
+  std::function<bool(const jobs::TaskId&)> crashes_worker = [](const jobs::TaskId&) {
+    return false;
+  };
+  Duration crash_delay = std::chrono::milliseconds{10};
+  Duration return_delay = std::chrono::milliseconds{3'200};
+  Return return_mode = Return::under_new_id;
+  /// Learn of returned workers, and of crashed ones whose registrations have expired.
+  std::set<WorkerListener*> listeners;
   FakeAdvisor advisor;
   bool needs_tickets = false;
   Duration start_latency{};  // in addition to the network delay
@@ -116,12 +138,17 @@
   std::uint64_t starts = 0;
   std::uint64_t polls = 0;
   std::map<std::string, std::uint32_t> successes;  // successful runs, by task
+  std::map<std::string, TaskCounts> counts;        // by task
+  std::uint64_t crashes = 0;                       // of workers, under tasks that crash them
 
-  FakeWorker& add(const std::string& id, std::uint64_t cpu_millis, const std::string& rack = "r1") {
+  /// Without `address`, the worker gets one of its own.
+  FakeWorker& add(const std::string& id, std::uint64_t cpu_millis, const std::string& rack = "r1",
+                  const std::string& address = "") {
     auto worker = std::make_unique<FakeWorker>();
     worker->entry.id = id;
     worker->entry.service = "service";
-    worker->entry.address = id;
+    worker->entry.address = address.empty() ? next_address() : address;
+    m_listening[worker->entry.address] = worker.get();
     worker->entry.rack = rack;
     worker->entry.labels = {"a", rack};
     worker->entry.capacity = {cpu_millis, 256'000, 0};
@@ -131,19 +158,70 @@
     return *m_workers[id];
   }
   FakeWorker& at(const std::string& id) { return *m_workers.at(id); }
+  /// The present workers by id, including crashed ones that have not returned under another id.
   std::map<std::string, std::unique_ptr<FakeWorker>>& all() { return m_workers; }
+  [[nodiscard]] TaskCounts counts_of(const jobs::TaskId& task) const {
+    const auto found = counts.find(name_of(task));
+    return found == counts.end() ? TaskCounts{} : found->second;
+  }
 
   /// Ends the worker's process; all its runs are lost, and connections to it are refused.
   void crash(const std::string& id) {
     FakeWorker& worker = at(id);
-    worker.runs.clear();
+    lose_runs(worker);
     worker.crashed = true;
   }
 
+  /// Ends the worker's process. The registration expires, and the worker returns as `return_mode`
+  /// says. A worker that exits of its own accord removes its registration itself.
+  void crash_and_return(const std::string& id, bool exits = false) {
+    crash(id);
+    m_timer.call_after(exits ? Duration::zero() : k_registration_expiry, [this, id] {
+      const auto found = m_workers.find(id);
+      if (found != m_workers.end() && found->second->crashed) {
+        found->second->registered = false;
+        notify([&id](WorkerListener& listener) { listener.on_worker_gone(id); });
+      }
+    });
+    if (return_mode == Return::never) {
+      return;
+    }
+    m_timer.call_after(return_delay, [this, id, mode = return_mode] {
+      if (mode == Return::under_new_id) {
+        announce(replace(id));
+      } else {
+        restart(id);
+        announce(at(id));
+      }
+    });
+  }
+
+  /// Puts a new process, with an id of its own, in the place of a crashed worker.
+  FakeWorker& replace(const std::string& id) {
+    auto predecessor = m_workers.extract(id);
+    const WorkerEntry& entry = predecessor.mapped()->entry;
+    const std::string base = id.substr(0, id.find('.'));
+    FakeWorker& worker = add(fmt::format("{}.{}", base, m_replaced.size() + 1),
+                             entry.capacity.cpu_millis, entry.rack, entry.address);
+    const std::string new_id = worker.entry.id;
+    worker.entry = entry;
+    worker.entry.id = new_id;
+    ++worker.entry.incarnation;
+    // Polls of the earlier process may still be waiting.
+    m_replaced.push_back(std::move(predecessor.mapped()));
+    return worker;
+  }
+
+  /// The address of the worker; the id if there is no such worker.
+  [[nodiscard]] std::string address_of(const std::string& id) const {
+    const auto found = m_workers.find(id);
+    return found == m_workers.end() ? id : found->second->entry.address;
+  }
+
   /// Restarts the worker under the same id; all its runs are lost.
   void restart(const std::string& id, std::uint64_t first_clock_ms = 0) {
     FakeWorker& worker = at(id);
-    worker.runs.clear();
+    lose_runs(worker);
     worker.ended.clear();
     worker.done_at.clear();
     worker.superseded_through.clear();
@@ -151,6 +229,7 @@
     worker.token = 0;
     worker.lease_until_ms = 0;
     worker.crashed = false;
+    worker.registered = true;
     worker.started_at = m_timer.now();
     worker.first_clock_ms = first_clock_ms;
     ++worker.entry.incarnation;
@@ -167,7 +246,7 @@
         extend(worker, *order.lease_until_ms);
       }
       note_ends(worker, order.acknowledged_through);
-      wait_for_end(worker.entry.id, worker.entry.incarnation,
+      wait_for_end(worker, worker.entry.incarnation,
                    m_timer.now() + std::chrono::milliseconds{order.wait_ms}, answer);
     });
   }
@@ -183,10 +262,14 @@
     const auto carry_out = [this, order](FakeWorker& worker, const auto& answer) {
       answer(start_now(worker, order));
     };
-    const auto found = m_workers.find(to.id);
-    if (found != m_workers.end() && found->second->start_delay > Duration::zero()) {
-      m_timer.call_after(found->second->start_delay,
-                         [this, id = to.id, order] { (void)start_now(at(id), order); });
+    const FakeWorker* target = listening_at(to.address);
+    if (target != nullptr && target->start_delay > Duration::zero()) {
+      m_timer.call_after(target->start_delay, [this, to, order] {
+        FakeWorker* worker = listening_at(to.address);
+        if (worker->entry.id == to.id && !worker->crashed) {
+          (void)start_now(*worker, order);
+        }
+      });
       time_out<OrderReply>(done);
       return;
     }
@@ -234,6 +317,65 @@
   static constexpr Duration k_tick = std::chrono::milliseconds{10};
   static constexpr Duration k_network_delay = std::chrono::milliseconds{2};
   static constexpr Duration k_answer_timeout = std::chrono::milliseconds{600};
+  static constexpr Duration k_registration_expiry = std::chrono::seconds{3};  // after a crash
+
+  std::string next_address() {
+    constexpr std::size_t k_hosts = 250;
+    const std::size_t number = m_addresses++;
+    return fmt::format("10.0.{}.{}:80", number / k_hosts, number % k_hosts + 1);
+  }
+
+  /// The worker that listens at the address, or did last.
+  [[nodiscard]] FakeWorker* listening_at(const std::string& address) const {
+    const auto found = m_listening.find(address);
+    return found == m_listening.end() ? nullptr : found->second;
+  }
+
+  template <typename Call>
+  void notify(Call call) {
+    for (WorkerListener* listener : std::set<WorkerListener*>(listeners)) {
+      call(*listener);
+    }
+  }
+  void announce(const FakeWorker& worker) {
+    notify([&worker](WorkerListener& listener) { listener.on_worker_updated(worker.entry); });
+  }
+
+  void lose_runs(FakeWorker& worker) {
+    std::set<std::string> tasks;
+    for (const FakeRun& run : worker.runs) {
+      tasks.insert(name_of(run.task));
+    }
+    for (const std::string& task : tasks) {
+      ++counts[task].crashes;
+    }
+    worker.runs.clear();
+  }
+
+  /// Counts the start of a task. Returns true when the worker has crashed under it already.
+  bool crash_under(FakeWorker& worker, const FakeRun& run) {
+    TaskCounts& task = counts[name_of(run.task)];
+    ++task.starts;
+    task.starts_after_three_crashes += task.crashes >= 3 ? 1 : 0;
+    if (!crashes_worker(run.task)) {
+      return false;
+    }
+    if (crash_delay == Duration::zero()) {
+      ++crashes;
+      crash_and_return(worker.entry.id);
+      return true;
+    }
+    m_timer.call_after(crash_delay, [this, &worker, id = run.task, number = run.number] {
+      const bool is_alive = std::any_of(
+          worker.runs.begin(), worker.runs.end(),
+          [&](const FakeRun& other) { return other.task == id && other.number == number; });
+      if (is_alive) {
+        ++crashes;
+        crash_and_return(worker.entry.id);
+      }
+    });
+    return false;
+  }
 
   [[nodiscard]] std::uint64_t clock_of(const FakeWorker& worker) const {
     const auto passed = (m_timer.now() - worker.started_at).count() / 1'000;
@@ -264,27 +406,31 @@
   template <typename Reply, typename Action>
   void deliver(const WorkerEndpoint& to, std::function<void(tl::expected<Reply, OrderError>)> done,
                Action action) {
-    m_timer.call_after(k_network_delay, [this, id = to.id, done = std::move(done), action] {
-      const auto found = m_workers.find(id);
-      if (found == m_workers.end() || found->second->partitioned) {
+    m_timer.call_after(k_network_delay, [this, to, done = std::move(done), action] {
+      FakeWorker* worker = listening_at(to.address);
+      if (worker == nullptr || worker->partitioned) {
         time_out<Reply>(done);
         return;
       }
-      if (found->second->refuses_connections || found->second->crashed) {
+      if (worker->refuses_connections || worker->crashed) {
         done(tl::unexpected(OrderError{OrderFailure::connection_refused, std::nullopt, "refused"}));
         return;
       }
-      const bool drops_answers = found->second->drops_answers;
+      const bool drops_answers = worker->drops_answers;
       const std::function<void(tl::expected<Reply, OrderError>)> answer =
-          [this, drops_answers, id, done](tl::expected<Reply, OrderError> reply) {
-            const bool silent = drops_answers || !m_workers.contains(id) || at(id).partitioned;
-            if (silent) {
+          [this, drops_answers, worker, done](tl::expected<Reply, OrderError> reply) {
+            if (drops_answers || worker->partitioned) {
               time_out<Reply>(done);
               return;
             }
             m_timer.call_after(k_network_delay, [done, reply = std::move(reply)] { done(reply); });
           };
-      action(*found->second, answer);
+      if (worker->entry.id != to.id) {
+        answer(tl::unexpected(OrderError{OrderFailure::incarnation_mismatch, clock_of(*worker),
+                                         "other incarnation"}));
+        return;
+      }
+      action(*worker, answer);
     });
   }
 
@@ -326,6 +472,9 @@
     run.worked_until = m_timer.now();
     run.payload = order.payload;
     worker.runs.push_back(run);
+    if (crash_under(worker, run)) {
+      return tl::unexpected(OrderError{OrderFailure::unknown, std::nullopt, "connection lost"});
+    }
     return OrderReply{clock_of(worker)};
   }
 
@@ -385,16 +534,15 @@
     }
   }
 
-  void wait_for_end(const std::string& id, std::uint64_t incarnation, TimePoint until,
+  void wait_for_end(FakeWorker& worker, std::uint64_t incarnation, TimePoint until,
                     const std::function<void(tl::expected<PollReply, OrderError>)>& answer) {
-    FakeWorker& worker = at(id);
     if (worker.entry.incarnation != incarnation || worker.crashed) {
       answer(tl::unexpected(OrderError{OrderFailure::unknown, std::nullopt, "connection lost"}));
       return;
     }
     if (worker.ended.empty() && m_timer.now() < until && !worker.partitioned) {
-      m_timer.call_after(k_tick, [this, id, incarnation, until, answer] {
-        wait_for_end(id, incarnation, until, answer);
+      m_timer.call_after(k_tick, [this, &worker, incarnation, until, answer] {
+        wait_for_end(worker, incarnation, until, answer);
       });
       return;
     }
@@ -439,8 +587,11 @@
 
   store::FakeTimer& m_timer;
   std::map<std::string, std::unique_ptr<FakeWorker>> m_workers;
-  std::set<std::string> m_noted;                  // tasks with a noted successful end
-  std::map<std::string, TimePoint> m_last_start;  // by task
+  std::vector<std::unique_ptr<FakeWorker>> m_replaced;
+  std::map<std::string, FakeWorker*> m_listening;  // by address
+  std::size_t m_addresses = 0;                     // number of addresses given out
+  std::set<std::string> m_noted;                   // tasks with a noted successful end
+  std::map<std::string, TimePoint> m_last_start;   // by task
 };
 
 /// Progress log in memory.
@@ -452,11 +603,28 @@
   std::uint32_t term = 0;  // of the newest leader
   jobs::JobTable jobs;     // as every daemon sees it
 
+  void follow(jobs::JobListener& listener) {
+    m_listener = &listener;
+    jobs.set_listener(&listener);
+  }
+  void unfollow(const jobs::JobListener& listener) {
+    if (m_listener == &listener) {
+      jobs.set_listener(nullptr);
+    }
+  }
   void write(std::vector<store::KeyedValue> entries, std::function<void(bool)> done) override {
+    write_in_term(term, std::move(entries), std::move(done));
+  }
+  /// Discards the entries if a later term begins before they are stored.
+  void write_in_term(std::uint32_t of_term, std::vector<store::KeyedValue> entries,
+                     std::function<void(bool)> done) {
     m_timer.call_after(std::chrono::milliseconds{15},
-                       [this, entries = std::move(entries), done = std::move(done)] {
+                       [this, of_term, entries = std::move(entries), done = std::move(done)] {
+                         if (of_term != term) {
+                           return;
+                         }
                          if (down) {
-                           write(entries, done);
+                           write_in_term(of_term, entries, done);
                            return;
                          }
                          for (const auto& entry : entries) {
@@ -468,6 +636,7 @@
 
  private:
   store::FakeTimer& m_timer;
+  jobs::JobListener* m_listener = nullptr;
   std::uint64_t m_offset = 0;
 };
 
--- a/src/arbutusdale/sched/sched_fixture_test.hpp
+++ b/src/arbutusdale/sched/sched_fixture_test.hpp
@@ -49,9 +49,7 @@
     m_log.term = std::max(m_log.term, term);
   }
   void write(std::vector<store::KeyedValue> entries, std::function<void(bool)> done) override {
-    if (m_term == m_log.term) {
-      m_log.write(std::move(entries), std::move(done));
-    }
+    m_log.write_in_term(m_term, std::move(entries), std::move(done));
   }
 
  private:
@@ -77,16 +75,34 @@
                                     timer, SchedulerOptions{term, term}, [this] { fenced = true; });
     scheduler->take_over(log.jobs);
     for (const auto& [id, worker] : fleet.all()) {
-      scheduler->on_worker_updated(worker->entry);
+      if (worker->registered) {
+        scheduler->on_worker_updated(worker->entry);
+      }
     }
     scheduler->on_workers_loaded();
+    fleet.listeners.insert(scheduler.get());
     if (jobs_caught_up) {
       scheduler->on_jobs_caught_up();
     }
-    log.jobs.set_listener(scheduler.get());
+    log.follow(*scheduler);
     schedule_tick();
   }
 
+  ~LeaderFixture() { kill(); }
+  LeaderFixture(const LeaderFixture&) = delete;
+  LeaderFixture& operator=(const LeaderFixture&) = delete;
+
+  /// Ends the process of the leader.
+  void kill() {
+    if (!scheduler) {
+      return;
+    }
+    frozen = true;
+    fleet.listeners.erase(scheduler.get());
+    log.unfollow(*scheduler);
+    scheduler.reset();
+  }
+
   /// Behaves as a leader whose term the store no longer confirms: it starts nothing from the time
   /// that another may claim the leadership, and renews no leases a little later.
   void lose_leadership() const {
