--- /dev/null
+++ b/src/arbutusdale/sched/crashing_task_fixture_test.hpp
@@ -0,0 +1,129 @@
+// Test fixture: jobs with tasks that crash the workers that start them, beside ordinary jobs.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <cstdio>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "sched_fixture_test.hpp"
+#include <criterion/criterion.h>
+
+namespace arbutusdale::sched {
+
+/// Jobs with the numbers in `deadly` crash the workers that start their tasks.
+struct CrashFixture : FleetFixture {
+  /// Least number of starts after three crashes that breaks the rule.
+  static constexpr std::uint32_t k_broken_by_starts = 3;
+  /// Starts of one task that never break it: three before the third crash, two more after it.
+  static constexpr std::uint32_t k_max_starts = 5;
+  static constexpr std::uint32_t k_max_crashes = 3;
+
+  std::set<jobs::JobId> deadly;
+  std::vector<std::unique_ptr<LeaderFixture>> leaders;  // by term
+
+  explicit CrashFixture(int workers = 6, std::uint64_t cpu_millis = 8'000)
+      : FleetFixture(workers, cpu_millis) {
+    fleet.crashes_worker = [this](const jobs::TaskId& task) {
+      return deadly.contains(task.job) && is_deadly(task);
+    };
+    fleet.work_of = [this](const jobs::TaskId& task) -> Duration {
+      return std::chrono::seconds{deadly.contains(task.job) || lasting.contains(task.job) ? 600
+                                                                                          : 1};
+    };
+  }
+
+  /// Which tasks of the deadly jobs crash their workers.
+  std::function<bool(const jobs::TaskId&)> is_deadly = [](const jobs::TaskId&) { return true; };
+  std::set<jobs::JobId> lasting;
+
+  /// Starts the next term; the earlier leader must have stopped.
+  LeaderFixture& lead() {
+    const auto term = static_cast<std::uint32_t>(leaders.size() + 1);
+    leaders.push_back(std::make_unique<LeaderFixture>(timer, fleet, log, term));
+    return *leaders.back();
+  }
+
+  void submit(JobBuilder job) {
+    job.record.set_accepted_wall_ms(timer.wall_ms());
+    log.jobs.apply_job_record({0, jobs::encode(job.record)});
+  }
+  void submit(std::uint32_t number, std::uint32_t tasks) {
+    JobBuilder job(number);
+    job.step(tasks, 1'000);
+    submit(job);
+  }
+  void submit_serving(std::uint32_t number, std::uint32_t tasks) {
+    lasting.insert(job_id(number));
+    JobBuilder job(number);
+    job.step(tasks, 2'000).set_long_running(true);
+    submit(job);
+  }
+  void submit_deadly(std::uint32_t number, std::uint32_t tasks) {
+    JobBuilder job(number);
+    job.step(tasks, 1'000);
+    submit_deadly(number, job);
+  }
+  void submit_deadly(std::uint32_t number, const JobBuilder& job) {
+    deadly.insert(job_id(number));
+    submit(job);
+  }
+
+  [[nodiscard]] jobs::JobState state(std::uint32_t number) const {
+    return log.jobs.find(job_id(number))->state();
+  }
+  /// Number of runs of the job's tasks.
+  [[nodiscard]] std::size_t running_tasks(std::uint32_t number) {
+    std::size_t count = 0;
+    for (const auto& [id, worker] : fleet.all()) {
+      for (const FakeRun& run : worker->runs) {
+        count += run.task.job == job_id(number) ? 1 : 0;
+      }
+    }
+    return count;
+  }
+
+  /// Every task of the jobs keeps to the budget, whether or not it has been given up.
+  void expect_within_budget(const std::set<std::uint32_t>& numbers) const {
+    for (const std::uint32_t number : numbers) {
+      for (const auto& [task, count] : fleet.counts) {
+        if (!task.starts_with(job_id(number).str())) {
+          continue;
+        }
+        std::fprintf(stderr, "task %s: %u starts, %u crashes, %u starts after three\n",
+                     task.c_str(), count.starts, count.crashes, count.starts_after_three_crashes);
+        cr_expect_lt(count.starts_after_three_crashes, k_broken_by_starts, "%s", task.c_str());
+        cr_expect_leq(count.starts, k_max_starts, "%s started %u times", task.c_str(),
+                      count.starts);
+        cr_expect_leq(count.crashes, k_max_crashes, "%u workers crashed under %s", count.crashes,
+                      task.c_str());
+      }
+    }
+  }
+  void expect_given_up(const std::set<std::uint32_t>& numbers) const {
+    expect_within_budget(numbers);
+    for (const std::uint32_t number : numbers) {
+      cr_expect(state(number) == jobs::JobState::FAILED, "job %u is %s", number,
+                JobState_Name(state(number)).c_str());
+    }
+  }
+  void expect_completed(std::uint32_t first, std::uint32_t last) const {
+    for (std::uint32_t number = first; number <= last; ++number) {
+      cr_expect(state(number) == jobs::JobState::COMPLETED, "job %u is %s", number,
+                JobState_Name(state(number)).c_str());
+    }
+  }
+  void expect_nothing_doubled() const {
+    for (const std::string& violation : fleet.violations) {
+      std::fprintf(stderr, "%s\n", violation.c_str());
+    }
+    cr_expect_eq(fleet.doubled, 0U);
+    cr_expect_eq(fleet.started_after_done, 0U);
+  }
+};
+
+}  // namespace arbutusdale::sched
