Give up a task that crashes the workers that start it

Callers of other jobs saw their tasks lost with one worker after another; the job with the deadly task never ended. Cause: nothing counted runs that ended with their worker, so nothing stopped the next start. A crash, a partition and a worker that is gone looked the same, and each cost the tasks beside it the six seconds of a lease.

Proof of a crash: another incarnation answers at the address at which the worker itself had answered (its poll is refused for that reason), or the worker itself reports a new incarnation. Neither a registration nor a refused connection proves it. The runs of the worker then start again at once.

Cause of a crash: runs that had not settled, that is, whose worker had not answered 0.5 s after their start. Their tasks are suspects and start alone on a worker, on at most an eighth of the workers at a time. Three crashes right after a start, the last of an isolated run, end the job as failed. Limits without that proof are four crashes of unsettled runs in a row and five of any.

The crashes and the unsettled runs are part of the progress record, so that the next leader counts a crash that ended its predecessor. Starts of suspects are stored before they are sent; so are all starts for a minute after a worker has crashed under a change of leader with runs that nobody recorded.

The check of the fixture that a deadly task starts at most five times becomes one that at most five workers crash under it: a run that is moved for slowness before it crashes its worker is a start, but breaks no rule. The check of starts after three crashes stays.

--- /dev/null
+++ b/include/arbutusdale/sched/crash_history.hpp
@@ -0,0 +1,65 @@
+// Decides which task crashes the workers that start it, for fleets on which many tasks share a
+// worker. A crash ends every run of the worker, and most of them did not cause it. A run that had
+// been started a moment before is the likely cause; its task is then started alone on a worker, so
+// that further crashes right after its starts prove the cause and take fewer other runs with them.
+#pragma once
+
+#include "arbutusdale/core/clock.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace arbutusdale::sched {
+
+/// A run has settled once its worker has answered this long after the run had begun. A task that
+/// crashes the workers that start it does so earlier.
+inline constexpr Duration k_settling_time = std::chrono::milliseconds{500};
+/// A crash that is noticed this soon after a run had begun is unlikely to be a coincidence.
+inline constexpr Duration k_prompt_crash_time = std::chrono::milliseconds{200};
+/// The longest settling time, of a task that crashes workers later than that, at most.
+inline constexpr Duration k_max_settling_time = std::chrono::seconds{5};
+
+/// A run that ended with the crash of its worker.
+struct CrashedRun {
+  std::uint32_t number = 0;
+  std::string worker;     // id
+  bool begun = false;     // the worker had confirmed the run
+  bool settled = false;   // another run is more likely the cause of the crash
+  bool isolated = false;  // no other run was started on the worker shortly before or after
+  bool prompt = false;    // the worker was silent within k_prompt_crash_time after the start
+  Duration age{};         // time for which the run is known to have run
+};
+
+/// The crashes under the runs of one task.
+class CrashHistory {
+ public:
+  /// Returns false when the run is known already.
+  bool add(CrashedRun run);
+  /// A run of the task has settled on another worker, so the earlier crashes no longer make it a
+  /// suspect. They still count as crashes.
+  void clear_suspicion() { m_cleared = m_runs.size(); }
+
+  /// True when the task may have caused a crash. Its next run has to be isolated.
+  [[nodiscard]] bool is_suspect() const;
+  /// True when the task is the cause of crashes, so that it must not be started again.
+  [[nodiscard]] bool is_cause() const;
+  /// Time after which the next run of the task has settled.
+  [[nodiscard]] Duration settling_time() const;
+  [[nodiscard]] const std::vector<CrashedRun>& runs() const { return m_runs; }
+  /// Ids of the workers that crashed under the task, separated by commas.
+  [[nodiscard]] std::string workers() const;
+
+ private:
+  /// Number of crashes since the suspicion was last cleared.
+  [[nodiscard]] std::size_t recent_crashes() const { return m_runs.size() - m_cleared; }
+  [[nodiscard]] std::vector<CrashedRun>::const_iterator recent_begin() const;
+  [[nodiscard]] std::size_t recent_unsettled_crashes() const;
+  [[nodiscard]] std::size_t recent_prompt_crashes() const;
+
+  std::vector<CrashedRun> m_runs;  // in the order in which the crashes became known
+  std::size_t m_cleared = 0;       // the first runs, which make the task no suspect any more
+};
+
+}  // namespace arbutusdale::sched
--- a/include/arbutusdale/sched/placement.hpp
+++ b/include/arbutusdale/sched/placement.hpp
@@ -30,6 +30,8 @@
   /// Allows opportunistic tasks beside serving tasks that they are believed to harm, as long as the
   /// tail latencies are low.
   bool allows_harm = false;
+  /// Allows suspects on workers on which other runs were started recently.
+  bool ignores_recent_starts = false;
 };
 
 /// True when the worker accepts tasks of the service's queues at all.
--- a/include/arbutusdale/sched/scheduler.hpp
+++ b/include/arbutusdale/sched/scheduler.hpp
@@ -100,13 +100,29 @@
   [[nodiscard]] bool is_flushed() const { return m_dirty.empty() && !m_flushing; }
 
  private:
+  /// Whether a worker answers a poll at once or waits for a run to end.
+  enum class PollWait : std::uint8_t { for_end, none };
+
   struct PollContext {
     WorkerSlot slot = 0;
     std::uint64_t serial = 0;
     std::uint64_t incarnation = 0;
+    std::string address;
     TimePoint sent{};
   };
 
+  /// A run on a worker that has crashed.
+  struct CrashVictim {
+    Task* task = nullptr;
+    CrashedRun run;
+  };
+
+  /// A start that is sent once it is stored.
+  struct PendingStart {
+    jobs::TaskId task;
+    std::uint32_t run = 0;
+  };
+
   /// Ended runs of a worker whose effects are part of a write.
   struct ProcessedEnds {
     WorkerSlot slot = 0;
@@ -124,6 +140,8 @@
   void stop_all_runs(Job& job, const char* reason);
   void schedule_removal_if_idle(Job& job);
   void mark_dirty(Job& job);
+  /// The job's starts are stored with the next write, or a little later.
+  void mark_started(Job& job);
   void flush();
   void on_flushed(bool stored, const std::vector<jobs::JobId>& written,
                   const std::vector<ProcessedEnds>& processed);
@@ -147,12 +165,15 @@
   [[nodiscard]] bool is_starved(const Task& task) const;
   bool place_starved(Task& task);
   bool place_gang(Step& step);
+  bool place_suspect(Task& task);
+  [[nodiscard]] bool may_isolate() const;
   void release_start_slot();
   [[nodiscard]] std::uint32_t next_run_number(const Task& task) const;
 
   // Orders and their answers, scheduler_orders.cpp.
   void start_run(Task& task, Worker& worker, std::uint32_t number);
-  void send_start(Task& task, const Run& run);
+  void send_start(Task& task, Run& run);
+  void send_recorded_starts(const std::vector<PendingStart>& starts);
   void on_start_reply(const jobs::TaskId& id, std::uint32_t number, const WorkerEndpoint& worker,
                       const tl::expected<OrderReply, OrderError>& reply);
   void on_start_error(Task& task, Run& run, Worker& worker, const OrderError& error);
@@ -176,10 +197,10 @@
                  const tl::expected<Advice, AdviceError>& advice);
 
   // Polls of workers, incarnations and leases, scheduler_polling.cpp.
-  void send_poll(Worker& worker);
+  void send_poll(Worker& worker, PollWait wait = PollWait::for_end);
   void schedule_poll(Worker& worker, Duration delay);
   void on_poll_reply(const PollContext& context, const tl::expected<PollReply, OrderError>& reply);
-  void on_poll_error(Worker& worker, const OrderError& error);
+  void on_poll_error(Worker& worker, const PollContext& context, const OrderError& error);
   static void note_unanswered_poll(Worker& worker);
   static void abandon_poll(Worker& worker);
   void begin_incarnation(Worker& worker, std::uint64_t incarnation);
@@ -193,6 +214,25 @@
   [[nodiscard]] TimePoint leases_expire_at(const Worker& worker) const;
   void check_lease(Worker& worker);
 
+  // Crashes of workers, scheduler_crashes.cpp.
+  void end_replaced_worker(Worker& worker);
+  [[nodiscard]] std::vector<CrashVictim> crash_victims(Worker& worker);
+  void record_crashes(const Worker& worker, const std::vector<CrashVictim>& victims,
+                      const char* proof);
+  void record_crash(Task& task, const CrashedRun& run);
+  void give_up(Task& task);
+  /// True when a start of the task must be stored before it is sent, so that a crash that ends the
+  /// leader as well is still recorded for the task.
+  [[nodiscard]] bool is_recorded_first(const Task& task) const;
+  void remember_lost_run(Worker& worker, const RunRef& ref);
+  void forget_lost_runs(Worker& worker);
+  void take_over_recorded_runs(Job& job);
+  void take_over_recorded_run(Task& task, const RecordedRun& recorded);
+  /// True while a crash of the worker would have to be recorded for tasks that it no longer runs.
+  [[nodiscard]] bool awaits_crash_proof(const Worker& worker) const;
+  void settle_run(Worker& worker, Task& task, Run& run);
+  void poll_when_settled(const Worker& worker, const Task& task, const Run& run);
+
   // What polls say of runs, scheduler_runs.cpp.
   /// The task that a worker has named; null if it is not one of a job that is known.
   Task* find_reported_task(const jobs::TaskId& id);
@@ -221,7 +261,11 @@
   WorkerScarcity m_scarcity;
   ServingAffinity m_affinity;
   TicketCache m_tickets;
-  std::set<jobs::JobId> m_dirty;     // jobs with progress to be stored
+  std::set<jobs::JobId> m_dirty;    // jobs with progress to be stored
+  std::set<jobs::JobId> m_started;  // jobs with starts to be stored
+  TimePoint m_store_starts_at{};    // at the latest, while there are such jobs
+  std::vector<PendingStart> m_pending_starts;
+  TimePoint m_record_first_until{};  // starts are stored before they are sent
   std::set<jobs::JobId> m_finished;  // jobs to remove once their end is stored
   TimePoint m_started_at{};
   TimePoint m_evidence_saved_at{};
--- a/include/arbutusdale/sched/task_table.hpp
+++ b/include/arbutusdale/sched/task_table.hpp
@@ -5,6 +5,7 @@
 #include "arbutusdale/core/resources.hpp"
 #include "arbutusdale/jobs/ids.hpp"
 #include "arbutusdale/jobs/job_table.hpp"
+#include "arbutusdale/sched/crash_history.hpp"
 
 #include <cstdint>
 #include <memory>
@@ -28,12 +29,15 @@
   std::uint32_t number = 0;
   WorkerSlot worker = 0;
   RunPhase phase = RunPhase::starting;
+  bool sent = false;            // its start has been sent
   bool resent = false;          // its start was unanswered and has been sent again
   bool listed = false;          // a poll reply has listed it, so it has begun on its worker
   bool stop_confirmed = false;  // the worker has answered the stop
   bool stop_in_flight = false;
+  bool isolated = false;  // of a suspect: nothing else starts on its worker until it has settled
   TimePoint order_sent_at{};  // the last start or stop
   TimePoint confirmed_at{};   // last confirmation of its start or stop, by an answer or a poll
+  TimePoint begun_at{};       // first confirmation of its start; zero before
   TimePoint progressed_at{};  // last change of progress_percent
   std::uint32_t progress_percent = 0;
   std::uint32_t throttle_percent = 100;         // of full speed, as ordered last
@@ -43,6 +47,22 @@
   TimePoint over_target_since{};            // zero while its tail is below the target
 };
 
+/// A run that no worker reports any more, and of which it is not known whether its worker crashed.
+struct LostRun {
+  WorkerSlot worker = 0;
+  CrashedRun run;  // what its record will be if the worker has crashed
+};
+
+/// A run that an earlier leader had started and that had not settled when it was recorded.
+struct RecordedRun {
+  std::uint32_t number = 0;
+  std::string worker;   // id
+  std::string address;  // at which the worker had answered
+  std::uint64_t incarnation = 0;
+  bool begun = false;
+  bool isolated = false;
+};
+
 enum class TaskPhase : std::uint8_t {
   blocked,  ///< a step that it depends on is not done
   waiting,  ///< for a worker
@@ -51,6 +71,7 @@
 };
 
 struct Step;
+class WorkerTable;
 
 /// One task of a step, with its runs.
 struct Task {
@@ -61,7 +82,11 @@
   std::vector<std::uint32_t> failed_runs;
   std::vector<WorkerSlot> failed_on;  // workers on which a run of it failed or was slow
   std::vector<Run> runs;
-  std::uint32_t moves = 0;  // slow runs stopped in order to restart elsewhere
+  CrashHistory crashes;
+  std::vector<LostRun> lost_runs;
+  std::vector<RecordedRun> recorded_runs;  // until the scheduler has taken them over
+  TimePoint reserved_until{};              // a worker takes no other starts until then
+  std::uint32_t moves = 0;                 // slow runs stopped in order to restart elsewhere
   std::string checkpoint;
   TimePoint ready_at{};    // since when it waits
   TimePoint not_before{};  // earliest next start
@@ -114,8 +139,9 @@
   [[nodiscard]] bool has_runs() const;
   [[nodiscard]] jobs::TaskId task_id(const Task& task) const;
   [[nodiscard]] Task* find_task(const jobs::TaskId& id);
-  /// Record of the job's progress, or of its end at `wall_ms`.
-  [[nodiscard]] proto::jobs::JobProgress progress(std::uint64_t wall_ms) const;
+  /// Record of the job's progress, or of its end at `wall_ms`. Its runs are on `workers`.
+  [[nodiscard]] proto::jobs::JobProgress progress(const WorkerTable& workers,
+                                                  std::uint64_t wall_ms) const;
 };
 
 /// Duration of the longest chain of dependent steps, by the caller's estimates.
--- a/include/arbutusdale/sched/worker_table.hpp
+++ b/include/arbutusdale/sched/worker_table.hpp
@@ -31,6 +31,7 @@
 struct RunRef {
   Task* task = nullptr;
   std::uint32_t number = 0;
+  bool isolated = false;  // the run is isolated and has not settled
 };
 
 /// A start order without an answer. It may still be carried out, even by the worker's next
@@ -58,7 +59,11 @@
   std::uint64_t poll_serial = 0;  // of the last poll sent or scheduled
   std::uint32_t unanswered_polls = 0;
   TimePoint last_answer{};
-  TimePoint binding_poll_at{};  // sending of the poll in flight, if it is one as noted below
+  TimePoint binding_poll_at{};   // sending of the poll in flight, if it is one as noted below
+  TimePoint last_alive{};        // last answer of this incarnation to an order of any kind
+  TimePoint silent_since{};      // first unanswered poll since the last answer
+  std::string answered_address;  // at which this worker itself has answered
+  bool has_ended = false;        // another incarnation has answered at that address
 
   std::uint64_t processed_through = 0;  // sequence of the last ended run processed
   /// Sequence of the last ended run whose effect is stored; never above processed_through.
@@ -75,6 +80,10 @@
   TimePoint unanswered_order_at{};
   TimePoint foreign_order_at{};
   TimePoint withheld_until{};  // gets no starts before, since its ends and leases are not reliable
+  std::vector<jobs::TaskId> lost_tasks;  // tasks with lost runs on this worker
+  std::uint32_t isolated_runs = 0;       // no other starts are sent while there is one
+  TimePoint last_start_at{};             // of any task
+  TimePoint reserved_until{};            // no starts but those of suspects before
 
   ThrottleControl throttle_control;
   bool polled_frequently = false;  // because it runs harmful opportunistic tasks
@@ -100,8 +109,15 @@
   /// Processors that no run is expected to use, in thousandths; negative when overcommitted.
   [[nodiscard]] std::int64_t idle_cpu_millis() const;
 
-  void add_run(Task& task, std::uint32_t number);
+  /// True when no run was started recently, so that a suspect can be isolated here.
+  [[nodiscard]] bool is_quiet(TimePoint now) const;
+  /// What would be recorded if the worker had crashed under the run after its last answer.
+  [[nodiscard]] CrashedRun describe_run(const Task& task, const Run& run) const;
+
+  void add_run(Task& task, std::uint32_t number, bool isolated = false);
   void remove_run(const Task& task, std::uint32_t number);
+  /// The run has settled, so that other tasks can be started beside it.
+  void end_isolation(const Task& task, std::uint32_t number);
 
   /// Remembers a start that was sent at `sent_at` and may still be carried out.
   void note_unanswered_start(const jobs::TaskId& task, std::uint32_t run, TimePoint sent_at);
--- a/src/arbutusdale/fleet/crashing_task_leader_known_red.cpp
+++ b/src/arbutusdale/fleet/given_up_task_leader_test.cpp
@@ -1,5 +1,5 @@
-// Known failures, listed in KNOWN-RED.txt: tasks that crash their workers while daemons end, are
-// suspended or lose the store.
+// Tasks that crash their workers are given up also while daemons end, are suspended or lose the
+// store.
 #include <chrono>
 #include <cstdint>
 #include <cstdio>
--- a/src/arbutusdale/observe/event_log.cpp
+++ b/src/arbutusdale/observe/event_log.cpp
@@ -16,7 +16,7 @@
 namespace arbutusdale::observe {
 namespace {
 
-constexpr EnumNames<Event, 37> k_event_names{{
+constexpr EnumNames<Event, 39> k_event_names{{
     {Event::process_started, "process_started"},
     {Event::process_stopping, "process_stopping"},
     {Event::process_stopped, "process_stopped"},
@@ -32,6 +32,7 @@
     {Event::worker_changed, "worker_changed"},
     {Event::worker_gone, "worker_gone"},
     {Event::worker_lost, "worker_lost"},
+    {Event::worker_crashed, "worker_crashed"},
     {Event::worker_quarantined, "worker_quarantined"},
     {Event::worker_withheld, "worker_withheld"},
     {Event::job_accepted, "job_accepted"},
@@ -50,6 +51,7 @@
     {Event::run_vanished, "run_vanished"},
     {Event::run_presumed_ended, "run_presumed_ended"},
     {Event::run_unexpected, "run_unexpected"},
+    {Event::task_given_up, "task_given_up"},
     {Event::pace_changed, "pace_changed"},
     {Event::advice_received, "advice_received"},
     {Event::advice_missing, "advice_missing"},
--- a/src/arbutusdale/sched/crashing_task_known_red.cpp
+++ b/src/arbutusdale/sched/given_up_task_test.cpp
@@ -1,5 +1,4 @@
-// Known failures, listed in KNOWN-RED.txt: tasks that crash every worker that starts them are
-// started again for ever.
+// Tasks that crash every worker that starts them are given up, and their jobs fail.
 #include <chrono>
 #include <cstdint>
 #include <utility>
--- a/src/arbutusdale/sched/placement.cpp
+++ b/src/arbutusdale/sched/placement.cpp
@@ -68,6 +68,15 @@
   return static_cast<double>(free) <= static_cast<double>(workers) * k_reserved_workers_share;
 }
 
+/// A suspect starts only where nothing was started recently; a worker that is reserved for one
+/// takes no other starts.
+bool may_start_beside_suspects(const PlacementView& view, const Worker& worker, const Task& task) {
+  if (!task.crashes.is_suspect()) {
+    return view.now >= worker.reserved_until;
+  }
+  return view.ignores_recent_starts || worker.is_quiet(view.now);
+}
+
 bool has_idle_capacity(const PlacementView& view, const Worker& worker, const Task& task) {
   const auto idle = static_cast<double>(worker.idle_cpu_millis());
   const auto need = static_cast<double>(task.step->need.cpu_millis);
@@ -90,8 +99,9 @@
 
 bool accepts_tasks(const Worker& worker, const std::string& service, TimePoint now) {
   return worker.registered && worker.entry.state == WorkerState::ready &&
-         !worker.has_unwanted_runs && !worker.is_withheld(now) && now >= worker.quarantined_until &&
-         now >= worker.backoff_until && worker.is_reachable(now) && worker.entry.service == service;
+         !worker.has_unwanted_runs && !worker.is_withheld(now) && worker.isolated_runs == 0 &&
+         now >= worker.quarantined_until && now >= worker.backoff_until &&
+         worker.is_reachable(now) && worker.entry.service == service;
 }
 
 bool accepts_image(const PlacementView& view, const Worker& worker, ImageId image) {
@@ -150,6 +160,9 @@
   if (!accepts_tasks(worker, step.job->terms().service(), view.now)) {
     return false;
   }
+  if (!may_start_beside_suspects(view, worker, task)) {
+    return false;
+  }
   const std::string& label = step.spec->required_label();
   if (!label.empty() && !worker.has_label(label)) {
     return false;
--- a/src/arbutusdale/sched/scheduler.cpp
+++ b/src/arbutusdale/sched/scheduler.cpp
@@ -21,6 +21,8 @@
 constexpr Duration k_earlier_lease_bound = std::chrono::milliseconds{6'500};
 // Time to stop the runs of a draining worker and to learn of their ends and checkpoints.
 constexpr Duration k_exit_margin = std::chrono::milliseconds{1'200};
+// Starts alone cause a write only after this time, so that most are stored with other progress.
+constexpr Duration k_start_record_delay = std::chrono::milliseconds{150};
 
 }  // namespace
 
@@ -49,6 +51,7 @@
     worker.entry.id = listed.worker();
     worker.entry.address = listed.address();
     worker.entry.incarnation = listed.incarnation();
+    worker.answered_address = listed.address();
     worker.in_earlier_roster = true;
     worker.in_roster = true;
     schedule_poll(worker, Duration::zero());
@@ -80,6 +83,7 @@
     return;
   }
   job->taken_over = taken_over;
+  take_over_recorded_runs(*job);
   EventLine(Event::job_owned)
       .add("job", id.view())
       .add("queue", job->terms().queue())
@@ -204,10 +208,21 @@
   m_dirty.insert(job.id);
 }
 
+void Scheduler::mark_started(Job& job) {
+  if (m_started.empty()) {
+    m_store_starts_at = m_timer.now() + k_start_record_delay;
+  }
+  m_started.insert(job.id);
+}
+
 void Scheduler::flush() {
   if (m_flushing) {
     return;
   }
+  if (!m_dirty.empty() || m_timer.now() >= m_store_starts_at) {
+    m_dirty.merge(m_started);
+    m_started.clear();
+  }
   std::vector<ProcessedEnds> processed;
   for (const auto& worker : m_workers.all()) {
     if (worker->processed_through > worker->stored_through) {
@@ -239,24 +254,30 @@
     if (job == nullptr) {
       continue;
     }
-    entries.push_back(jobs::encode(job->progress(m_timer.wall_ms())));
+    entries.push_back(jobs::encode(job->progress(m_workers, m_timer.wall_ms())));
     written.push_back(id);
   }
   m_flushing = true;
-  m_log.write(std::move(entries), [this, alive = m_alive, written = std::move(written),
-                                   processed = std::move(processed),
-                                   roster_additions = std::move(roster_additions)](bool stored) {
-    if (!*alive) {
-      return;
-    }
-    m_flushing = false;
-    for (const WorkerSlot slot : roster_additions) {
-      m_workers.at(slot).in_roster = stored;
-      m_place_due = true;
-    }
-    on_flushed(stored, written, processed);
-    process_pending();
-  });
+  m_log.write(std::move(entries),
+              [this, alive = m_alive, written = std::move(written),
+               processed = std::move(processed), starts = std::exchange(m_pending_starts, {}),
+               roster_additions = std::move(roster_additions)](bool stored) {
+                if (!*alive) {
+                  return;
+                }
+                m_flushing = false;
+                if (stored) {
+                  send_recorded_starts(starts);
+                } else {
+                  m_pending_starts.insert(m_pending_starts.end(), starts.begin(), starts.end());
+                }
+                for (const WorkerSlot slot : roster_additions) {
+                  m_workers.at(slot).in_roster = stored;
+                  m_place_due = true;
+                }
+                on_flushed(stored, written, processed);
+                process_pending();
+              });
 }
 
 void Scheduler::on_flushed(bool stored, const std::vector<jobs::JobId>& written,
@@ -307,7 +328,7 @@
   }
   const auto& workers = m_workers.all();
   return m_workers_loaded && std::all_of(workers.begin(), workers.end(), [](const auto& worker) {
-           return worker->has_answered || !worker->in_earlier_roster;
+           return worker->has_answered || worker->has_ended || !worker->in_earlier_roster;
          });
 }
 
@@ -330,6 +351,7 @@
   worker.entry = entry;
   worker.entry.incarnation = known == 0 ? entry.incarnation : known;
   worker.registered = true;
+  worker.has_ended = worker.has_ended && !may_have_restarted;
   worker.may_exit_at = m_timer.now() + std::chrono::milliseconds{entry.remaining_ms};
   if (added || state_changed || may_have_restarted) {
     EventLine(added ? Event::worker_seen : Event::worker_changed)
@@ -378,6 +400,9 @@
 // now on. A worker that has never answered gets no starts, and the next leader need not wait for
 // it.
 bool Scheduler::may_have_runs(const Worker& worker) const {
+  if (worker.has_ended) {
+    return false;
+  }
   const TimePoint now = m_timer.now();
   const bool awaiting_first_answer = worker.in_earlier_roster && !worker.has_answered &&
                                      now - m_started_at <= k_earlier_lease_bound;
@@ -409,7 +434,8 @@
     }
     auto* entry = roster.add_workers();
     entry->set_worker(worker->entry.id);
-    entry->set_address(worker->entry.address);
+    const bool has_address = !worker->answered_address.empty();
+    entry->set_address(has_address ? worker->answered_address : worker->entry.address);
     entry->set_incarnation(worker->entry.incarnation);
   }
   return jobs::encode(roster);
--- a/src/arbutusdale/sched/scheduler_orders.cpp
+++ b/src/arbutusdale/sched/scheduler_orders.cpp
@@ -46,12 +46,14 @@
   Run run;
   run.number = number;
   run.worker = worker.slot;
+  run.isolated = task.crashes.is_suspect();
   run.order_sent_at = now;
   run.progressed_at = now;
   task.runs.push_back(run);
   task.last_run = number;
   task.phase = TaskPhase::active;
-  worker.add_run(task, number);
+  worker.add_run(task, number, run.isolated);
+  worker.last_start_at = now;
 
   observe::record_timing(observe::Timing::start_wait, now - task.ready_at);
   EventLine(Event::run_ordered)
@@ -65,11 +67,38 @@
       .add_ms("waited_ms", now - task.ready_at)
       .add("free_cpu_millis", worker.entry.capacity.cpu_millis - worker.committed.cpu_millis)
       .add("idle_cpu_millis", worker.idle_cpu_millis())
+      .add("isolated", run.isolated ? 1 : 0)
       .write();
-  send_start(task, run);
+  if (is_recorded_first(task)) {
+    m_pending_starts.push_back({job.task_id(task), number});
+    mark_dirty(job);
+    return;
+  }
+  mark_started(job);
+  send_start(task, *task.find_run(number));
+}
+
+// The runs may have been stopped, and the leadership may have ended, while they were stored.
+void Scheduler::send_recorded_starts(const std::vector<PendingStart>& starts) {
+  for (const PendingStart& start : starts) {
+    Job* job = m_tasks.find(start.task.job);
+    Task* task = job == nullptr ? nullptr : job->find_task(start.task);
+    Run* run = task == nullptr ? nullptr : task->find_run(start.run);
+    if (run == nullptr || run->phase != RunPhase::starting) {
+      continue;
+    }
+    if (!may_start()) {
+      drop_run(*task, start.run);
+      continue;
+    }
+    send_start(*task, *run);
+  }
 }
 
-void Scheduler::send_start(Task& task, const Run& run) {
+void Scheduler::send_start(Task& task, Run& run) {
+  if (!std::exchange(run.sent, true) && run.isolated) {
+    poll_when_settled(m_workers.at(run.worker), task, run);
+  }
   const Job& job = *task.step->job;
   Worker& worker = m_workers.at(run.worker);
   StartOrder order;
@@ -132,11 +161,15 @@
   }
   if (endpoint.incarnation == worker.entry.incarnation) {
     worker.lease.observe_clock(reply->clock_ms, m_timer.now());
+    worker.last_alive = m_timer.now();
   }
   if (run->phase == RunPhase::starting) {
     run->phase = RunPhase::running;
   }
   run->confirmed_at = m_timer.now();
+  if (run->begun_at == TimePoint{}) {
+    run->begun_at = m_timer.now();
+  }
   if (job->state == JobState::QUEUED) {
     job->state = JobState::RUNNING;
     mark_dirty(*job);
--- a/src/arbutusdale/sched/scheduler_placement.cpp
+++ b/src/arbutusdale/sched/scheduler_placement.cpp
@@ -21,6 +21,14 @@
 constexpr Duration k_batch_round_interval = std::chrono::milliseconds{50};
 // After this many steps without a worker, the rest of the queue waits for the next round.
 constexpr std::size_t k_max_unplaced_steps = 64;
+// The same for suspects, each of which is compared with all workers.
+constexpr std::size_t k_max_unplaced_suspects = 8;
+// Share of the workers on which suspects are started at a time, since each may crash its worker.
+constexpr double k_max_isolated_share = 0.125;
+constexpr std::size_t k_min_isolated_workers = 2;
+// A suspect that has waited this long for a worker without recent starts gets one reserved.
+constexpr Duration k_reservation_delay = std::chrono::milliseconds{200};
+constexpr Duration k_reservation_time = k_settling_time + std::chrono::milliseconds{200};
 
 }  // namespace
 
@@ -64,6 +72,7 @@
   const PlacementView view = placement_view();
   PlacementRound round(view);
   std::unordered_set<const Step*> unplaced;
+  std::size_t unplaced_suspects = 0;
   std::vector<Step*> unadvised;  // unplaced steps of advised queues, in queue order
   // By opportunistic image: smallest need for which this round has found no worker.
   std::unordered_map<ImageId, std::uint64_t> unplaced_cpu;
@@ -79,6 +88,11 @@
     if (waits) {
       return true;
     }
+    if (task.crashes.is_suspect() && !step.spec->gang()) {
+      const bool examined = unplaced_suspects < k_max_unplaced_suspects;
+      unplaced_suspects += examined && !place_suspect(task) ? 1 : 0;
+      return true;
+    }
     const bool plain_batch =
         opportunistic && step.spec->required_label().empty() && !step.job->terms().advised();
     const auto refused = unplaced_cpu.find(step.image);
@@ -141,6 +155,42 @@
   return true;
 }
 
+bool Scheduler::may_isolate() const {
+  const auto& workers = m_workers.all();
+  std::size_t registered = 0;
+  std::size_t isolated = 0;
+  for (const auto& worker : workers) {
+    registered += worker->registered ? 1 : 0;
+    isolated += worker->isolated_runs > 0 ? 1 : 0;
+  }
+  const auto limit =
+      static_cast<std::size_t>(static_cast<double>(registered) * k_max_isolated_share);
+  return isolated < std::max(limit, k_min_isolated_workers);
+}
+
+// Starts a task that may have crashed a worker where nothing else was started recently. Reserves
+// such a worker if the fleet is too busy to have one.
+bool Scheduler::place_suspect(Task& task) {
+  const TimePoint now = m_timer.now();
+  if (!may_isolate()) {
+    return false;
+  }
+  PlacementView view = placement_view();
+  if (const auto slot = choose_worker(view, task)) {
+    start_run(task, m_workers.at(*slot), next_run_number(task));
+    return true;
+  }
+  if (now - task.ready_at < k_reservation_delay || now < task.reserved_until) {
+    return false;
+  }
+  view.ignores_recent_starts = true;
+  if (const auto slot = choose_worker(view, task)) {
+    task.reserved_until = now + k_reservation_time;
+    m_workers.at(*slot).reserved_until = task.reserved_until;
+  }
+  return false;
+}
+
 bool Scheduler::is_starved(const Task& task) const {
   return task.step->spec->opportunistic() && m_fleet_is_idle &&
          m_timer.now() - task.ready_at >= k_starvation_timeout && !task.step->job->has_runs();
--- a/src/arbutusdale/sched/scheduler_polling.cpp
+++ b/src/arbutusdale/sched/scheduler_polling.cpp
@@ -43,10 +43,11 @@
   });
 }
 
-void Scheduler::send_poll(Worker& worker) {
+void Scheduler::send_poll(Worker& worker, PollWait wait) {
   const bool needed = worker.registered || !worker.runs.empty() ||
-                      (worker.in_earlier_roster && !worker.has_answered);
-  if (!may_poll() || !needed || !m_jobs_caught_up) {
+                      (worker.in_earlier_roster && !worker.has_answered) ||
+                      awaits_crash_proof(worker);
+  if (!may_poll() || !needed || worker.has_ended || !m_jobs_caught_up) {
     return;  // tick() tries again
   }
   const TimePoint now = m_timer.now();
@@ -58,15 +59,17 @@
     order.lease_until_ms = worker.lease.extend(now);
   }
   if (worker.has_answered) {
-    const std::uint32_t wait_ms =
-        worker.polled_frequently ? k_frequent_poll_wait_ms : k_poll_wait_ms;
-    order.wait_ms = worker.processed_through > worker.stored_through ? 0 : wait_ms;
+    const bool is_frequent = worker.polled_frequently || worker.isolated_runs > 0;
+    const std::uint32_t wait_ms = is_frequent ? k_frequent_poll_wait_ms : k_poll_wait_ms;
+    const bool is_unstored = worker.processed_through > worker.stored_through;
+    order.wait_ms = is_unstored || wait == PollWait::none ? 0 : wait_ms;
   }
   worker.poll_in_flight = true;
   // An order without a lease and an acknowledgement has no effect that outlives it.
   const bool binds = order.lease_until_ms.has_value() || order.acknowledged_through > 0;
   worker.binding_poll_at = binds ? now : TimePoint{};
-  const PollContext context{worker.slot, ++worker.poll_serial, worker.entry.incarnation, now};
+  const PollContext context{worker.slot, ++worker.poll_serial, worker.entry.incarnation,
+                            worker.entry.address, now};
   m_orders.poll(worker.endpoint(), order,
                 [this, alive = m_alive, context](const tl::expected<PollReply, OrderError>& reply) {
                   if (*alive) {
@@ -87,7 +90,7 @@
     if (reply.error().reason == OrderFailure::unknown) {
       note_unanswered_poll(worker);
     }
-    on_poll_error(worker, reply.error());
+    on_poll_error(worker, context, reply.error());
     return;
   }
   const TimePoint now = m_timer.now();
@@ -103,6 +106,9 @@
   worker.unanswered_polls = 0;
   worker.needs_poll = false;
   worker.last_answer = now;
+  worker.last_alive = now;
+  worker.silent_since = TimePoint{};
+  worker.answered_address = context.address;
   for (const EndedRun& end : reply->ended) {
     if (end.sequence <= worker.processed_through) {
       continue;
@@ -112,6 +118,7 @@
   }
   update_runs(worker, *reply);
   drop_missing_runs(worker, *reply, context);
+  forget_lost_runs(worker);
   control_throttling(worker);
   move_stragglers(worker);
   const bool unstored = worker.processed_through > worker.stored_through;
@@ -119,11 +126,21 @@
   schedule_poll(worker, first ? Duration::zero() : pause);
 }
 
-void Scheduler::on_poll_error(Worker& worker, const OrderError& error) {
+void Scheduler::on_poll_error(Worker& worker, const PollContext& context, const OrderError& error) {
   if (error.reason == OrderFailure::fenced) {
     m_on_fenced();
     return;
   }
+  if (worker.silent_since == TimePoint{}) {
+    worker.silent_since = m_timer.now();
+  }
+  // One incarnation has an address at a time.
+  const bool is_replaced = error.reason == OrderFailure::incarnation_mismatch &&
+                           context.address == worker.answered_address;
+  if (is_replaced) {
+    end_replaced_worker(worker);
+    return;
+  }
   if (worker.unanswered_polls++ == 0) {
     EventLine(Event::worker_lost)
         .add("worker", worker.entry.id)
@@ -160,6 +177,7 @@
       .add("incarnation", incarnation)
       .add("runs", worker.runs.size())
       .write();
+  const std::vector<CrashVictim> victims = crash_victims(worker);
   worker.lease = WorkerLease{};
   worker.has_answered = false;
   worker.has_unwanted_runs = false;
@@ -174,6 +192,7 @@
     resolve_run_after_restart(worker, ref);
   }
   stop_late_starts(worker);
+  record_crashes(worker, victims, "it has restarted");
 }
 
 // What a worker lists of ended runs, and its lease, may be the effect of an order that was sent to
@@ -228,8 +247,8 @@
     return;
   }
   if (run->phase == RunPhase::running && !may_start) {
-    // Either incarnation may have answered the start; the next poll tells which.
-    run->confirmed_at = m_timer.now();
+    // Either incarnation may have answered the start. A poll that was sent after that answer tells
+    // which.
     return;
   }
   restart_stop(task, *run, k_reason);
@@ -276,6 +295,7 @@
       .add_ms("silent_ms", now - worker.last_answer)
       .write();
   for (const RunRef& ref : std::vector<RunRef>(worker.runs)) {
+    remember_lost_run(worker, ref);
     presume_ended(worker, ref, "its leases have expired");
   }
   // Runs that it still lists have to be adopted again.
--- a/src/arbutusdale/sched/scheduler_runs.cpp
+++ b/src/arbutusdale/sched/scheduler_runs.cpp
@@ -159,6 +159,10 @@
         .write();
   }
   run->listed = true;
+  if (run->begun_at == TimePoint{}) {
+    run->begun_at = m_timer.now();
+  }
+  settle_run(worker, *task, *run);
   if (run->phase == RunPhase::starting || run->confirmed_at == TimePoint{}) {
     run->confirmed_at = m_timer.now();
   }
@@ -238,6 +242,7 @@
     return;
   }
   m_workers.at(run->worker).remove_run(task, number);
+  mark_started(*task.step->job);
   std::erase_if(task.runs, [number](const Run& other) { return other.number == number; });
   m_place_due = true;
   if (task.phase == TaskPhase::done) {
--- a/src/arbutusdale/sched/task_table.cpp
+++ b/src/arbutusdale/sched/task_table.cpp
@@ -1,6 +1,9 @@
 // Expansion of jobs into tasks, dependencies, and the progress record.
 #include "arbutusdale/sched/task_table.hpp"
 
+#include "arbutusdale/sched/crash_records.hpp"
+#include "arbutusdale/sched/worker_table.hpp"
+
 #include <algorithm>
 #include <map>
 
@@ -81,7 +84,7 @@
   return task.index < step.tasks.size() ? &step.tasks[task.index] : nullptr;
 }
 
-JobProgress Job::progress(std::uint64_t wall_ms) const {
+JobProgress Job::progress(const WorkerTable& workers, std::uint64_t wall_ms) const {
   JobProgress record;
   record.set_job(id.str());
   record.set_state(state);
@@ -101,8 +104,11 @@
           failed->set_task(task.index);
           failed->set_run(run);
         }
+        save_crashes(task, workers, entry);
       }
-      if (entry.done().empty() && entry.failed().empty()) {
+      const bool is_empty = entry.done().empty() && entry.failed().empty() &&
+                            entry.unsettled().empty() && entry.crashed().empty();
+      if (is_empty) {
         continue;
       }
       entry.set_occurrence(step.occurrence);
@@ -150,8 +156,8 @@
   return added;
 }
 
-// Restores finished tasks and failed runs from the record. Opens the occurrences up to the last
-// recorded one.
+// Restores finished tasks, failed runs and crashes from the record. Opens the occurrences up to the
+// last recorded one.
 void TaskTable::restore(Job& job, const JobProgress& progress) {
   job.state = progress.state();
   std::uint32_t opened = 0;
@@ -175,6 +181,7 @@
         task->last_run = std::max(task->last_run, failed.run());
       }
     }
+    restore_crashes(job, entry);
   }
 }
 
--- a/src/arbutusdale/sched/worker_table.cpp
+++ b/src/arbutusdale/sched/worker_table.cpp
@@ -46,9 +46,29 @@
          static_cast<std::int64_t>(others + opportunistic_cpu_millis);
 }
 
-void Worker::add_run(Task& task, std::uint32_t number) {
+bool Worker::is_quiet(TimePoint now) const {
+  return isolated_runs == 0 && now - last_start_at >= k_settling_time;
+}
+
+CrashedRun Worker::describe_run(const Task& task, const Run& run) const {
+  CrashedRun crashed;
+  crashed.number = run.number;
+  crashed.worker = entry.id;
+  crashed.begun = run.begun_at != TimePoint{};
+  crashed.isolated = run.isolated;
+  if (crashed.begun) {
+    crashed.age = std::max(last_alive - run.begun_at, Duration::zero());
+    crashed.settled = crashed.age >= task.crashes.settling_time();
+    crashed.prompt = !crashed.settled && silent_since != TimePoint{} &&
+                     silent_since - run.begun_at <= k_prompt_crash_time;
+  }
+  return crashed;
+}
+
+void Worker::add_run(Task& task, std::uint32_t number, bool isolated) {
   const Step& step = *task.step;
-  runs.push_back({&task, number});
+  runs.push_back({&task, number, isolated});
+  isolated_runs += isolated ? 1 : 0;
   committed = plus(committed, reserved_resources(step));
   serving_cpu_millis += step.spec->long_running() ? step.need.cpu_millis : 0;
   opportunistic_cpu_millis += step.spec->opportunistic() ? step.need.cpu_millis : 0;
@@ -62,12 +82,23 @@
     return;
   }
   const Step& step = *task.step;
+  isolated_runs -= found->isolated ? 1 : 0;
   runs.erase(found);
   committed = minus(committed, reserved_resources(step));
   serving_cpu_millis -= step.spec->long_running() ? step.need.cpu_millis : 0;
   opportunistic_cpu_millis -= step.spec->opportunistic() ? step.need.cpu_millis : 0;
 }
 
+void Worker::end_isolation(const Task& task, std::uint32_t number) {
+  for (RunRef& run : runs) {
+    if (run.task != &task || run.number != number || !run.isolated) {
+      continue;
+    }
+    run.isolated = false;
+    --isolated_runs;
+  }
+}
+
 void Worker::note_unanswered_start(const jobs::TaskId& task, std::uint32_t run, TimePoint sent_at) {
   std::erase_if(unanswered, [sent_at](const UnansweredStart& start) {
     return sent_at - start.sent_at > k_late_order_bound;
