Keep a task with the worker that left its start unanswered

A start without an answer is stopped, the stop is confirmed, and the task starts elsewhere. The worker then restarts under its id, its new incarnation knows of no stop, and the late start is carried out there: two runs at once.

As long as the start may be carried out, the task's next run goes to the same worker, whose higher run number or stop supersedes the late start. While the worker drains, the task waits for its exit or for the bound. After a restart of the worker, a run whose task has any unanswered start there ends only with a stop that the new incarnation has confirmed, and a task that waits does so until then. A stopped run counts as absent only once its start has been answered or timed out. A task that waits for its worker does not hold up others of its step.

--- a/include/arbutusdale/sched/placement.hpp
+++ b/include/arbutusdale/sched/placement.hpp
@@ -38,6 +38,12 @@
 /// True when an opportunistic image may run beside the worker's serving tasks.
 bool accepts_image(const PlacementView& view, const Worker& worker, ImageId image);
 
+/// True when the task starts only on the worker that left its last start unanswered: what is
+/// ordered there supersedes the late start, whereas a run elsewhere would be doubled by it after a
+/// restart of the worker. Ends when the worker has left, has been silent for the longest lease, or,
+/// while it is ready, has left two runs unanswered, is withheld or has no room for a while.
+bool awaits_late_start(const PlacementView& view, const Task& task);
+
 /// True when the worker has the capacity for the task and meets its constraints. Ignores tickets.
 bool can_host(const PlacementView& view, const Worker& worker, const Task& task);
 
--- a/include/arbutusdale/sched/scheduler.hpp
+++ b/include/arbutusdale/sched/scheduler.hpp
@@ -155,6 +155,8 @@
   void send_start(Task& task, const Run& run);
   void on_start_reply(const jobs::TaskId& id, std::uint32_t number, const WorkerEndpoint& worker,
                       const tl::expected<OrderReply, OrderError>& reply);
+  void note_late_start(const jobs::TaskId& id, std::uint32_t number, WorkerSlot worker,
+                       TimePoint sent);
   void on_start_error(Task& task, Run& run, Worker& worker, const OrderError& error);
   void stop_run(Task& task, Run& run, const char* reason);
   void send_stop(Task& task, Run& run);
@@ -185,6 +187,7 @@
   void begin_incarnation(Worker& worker, std::uint64_t incarnation);
   void resolve_run_after_restart(Worker& worker, const RunRef& ref);
   void stop_late_starts(Worker& worker);
+  void await_stop_of_late_start(Task& task, Worker& worker, std::uint32_t number);
   void withhold_if_unreliable(Worker& worker);
   void limit_withheld_workers();
   [[nodiscard]] bool may_withhold_another(const std::string& service) const;
--- a/include/arbutusdale/sched/task_table.hpp
+++ b/include/arbutusdale/sched/task_table.hpp
@@ -28,6 +28,7 @@
   std::uint32_t number = 0;
   WorkerSlot worker = 0;
   RunPhase phase = RunPhase::starting;
+  bool start_in_flight = false;
   bool resent = false;          // its start was unanswered and has been sent again
   bool listed = false;          // a poll reply has listed it, so it has begun on its worker
   bool stop_confirmed = false;  // the worker has answered the stop
@@ -52,6 +53,15 @@
 
 struct Step;
 
+/// The worker that left the last start of a task unanswered. As long as the order may be carried
+/// out, a restart of the worker under its id can start the task there again.
+struct LateStart {
+  WorkerSlot worker = 0;
+  std::uint32_t run = 0;              // the last one that it left unanswered
+  std::uint32_t unanswered_runs = 0;  // in a row on this worker; zero: no start is late
+  TimePoint sent_at{};
+};
+
 /// One task of a step, with its runs.
 struct Task {
   Step* step = nullptr;
@@ -61,6 +71,7 @@
   std::vector<std::uint32_t> failed_runs;
   std::vector<WorkerSlot> failed_on;  // workers on which a run of it failed or was slow
   std::vector<Run> runs;
+  LateStart late_start;
   std::uint32_t moves = 0;  // slow runs stopped in order to restart elsewhere
   std::string checkpoint;
   TimePoint ready_at{};    // since when it waits
--- a/include/arbutusdale/sched/worker_table.hpp
+++ b/include/arbutusdale/sched/worker_table.hpp
@@ -105,8 +105,8 @@
 
   /// Remembers a start that was sent at `sent_at` and may still be carried out.
   void note_unanswered_start(const jobs::TaskId& task, std::uint32_t run, TimePoint sent_at);
-  [[nodiscard]] bool may_still_start(const jobs::TaskId& task, std::uint32_t run,
-                                     TimePoint now) const;
+  /// True when an unanswered start of any run of the task may still be carried out.
+  [[nodiscard]] bool may_still_start(const jobs::TaskId& task, TimePoint now) const;
 
   /// Remembers that a poll or start that was sent to `incarnation` at `sent_at` may still be
   /// carried out. It must carry a lease or an acknowledgement.
--- a/src/arbutusdale/fleet/repeated_start_test.cpp
+++ b/src/arbutusdale/fleet/repeated_start_test.cpp
@@ -47,3 +47,24 @@
   cluster.timer.advance(10s);
   cr_assert_eq(cluster.fleet.started_after_done, 0U);
 }
+
+// Guards against a second run of a task whose worker restarted after a later run had begun there:
+// the stop that goes to the next incarnation is lost, and the late start of an earlier run arrives.
+Test(node, a_lost_stop_after_a_restart_does_not_double_a_task) {
+  for (int restart_ms = 0; restart_ms < 2'000; restart_ms += 50) {
+    Cluster cluster;
+    cluster.fleet.work_of = [](const jobs::TaskId&) { return 20s; };
+    cluster.timer.advance(1s);
+    auto& path = cluster.daemons[cluster.leader()]->orders.path("w0");
+    path.late_starts = 2;
+    path.late_by = 5s;
+    cluster.submit(cluster.leader(), 1, 1);
+    cluster.timer.advance(650ms + std::chrono::milliseconds{restart_ms});
+    cr_assert_eq(path.late_starts, 0);
+    path.late_stops = 3;
+    cluster.fleet.restart("w0");
+    cluster.timer.advance(15s);
+    cr_expect_eq(cluster.fleet.doubled, 0U, "restart %d", restart_ms);
+    cr_expect_eq(cluster.fleet.running(), 1U, "restart %d", restart_ms);
+  }
+}
--- a/src/arbutusdale/sched/placement.cpp
+++ b/src/arbutusdale/sched/placement.cpp
@@ -23,6 +23,10 @@
 // Share of its estimate that a task waits for its rack before it runs elsewhere, more slowly.
 constexpr double k_rack_wait_share = 0.5;
 
+// Waiting for a ready worker stays well below the time after which a job counts as stuck.
+constexpr Duration k_late_start_wait = std::chrono::seconds{2};
+constexpr std::uint32_t k_max_unanswered_runs = 2;
+
 bool is_rack_acceptable(const Worker& worker, const Task& task, TimePoint now) {
   const Step& step = *task.step;
   const std::string& rack =
@@ -130,6 +134,10 @@
   if (std::find(failed_on.begin(), failed_on.end(), worker.slot) != failed_on.end()) {
     cost += k_failed_task_penalty;
   }
+  const LateStart& late = task.late_start;
+  if (late.worker == worker.slot && late.unanswered_runs >= k_max_unanswered_runs) {
+    cost += k_failed_task_penalty;
+  }
   if (view.now < worker.slow_until) {
     cost += k_slow_penalty;
   }
@@ -145,8 +153,27 @@
   return cost + static_cast<double>(left.cpu_millis - step.need.cpu_millis) / capacity;
 }
 
+bool awaits_late_start(const PlacementView& view, const Task& task) {
+  const LateStart& late = task.late_start;
+  if (late.unanswered_runs == 0 || view.now - late.sent_at > k_late_order_bound) {
+    return false;
+  }
+  const Worker& worker = view.workers.at(late.worker);
+  if (!worker.registered || view.now - worker.last_answer > k_max_lease) {
+    return false;
+  }
+  if (worker.entry.state == WorkerState::draining) {
+    return true;
+  }
+  return late.unanswered_runs < k_max_unanswered_runs && !worker.is_withheld(view.now) &&
+         view.now - task.ready_at <= k_late_start_wait;
+}
+
 bool can_host(const PlacementView& view, const Worker& worker, const Task& task) {
   const Step& step = *task.step;
+  if (worker.slot != task.late_start.worker && awaits_late_start(view, task)) {
+    return false;
+  }
   if (!accepts_tasks(worker, step.job->terms().service(), view.now)) {
     return false;
   }
--- a/src/arbutusdale/sched/placement_round.cpp
+++ b/src/arbutusdale/sched/placement_round.cpp
@@ -31,7 +31,7 @@
 
 std::optional<WorkerSlot> PlacementRound::choose(const Task& task) {
   const Step& step = *task.step;
-  if (!has_simple_needs(step)) {
+  if (!has_simple_needs(step) || awaits_late_start(m_view, task)) {
     m_workers_examined += m_view.workers.all().size();
     return choose_worker(m_view, task);
   }
--- a/src/arbutusdale/sched/restarted_worker_test.cpp
+++ b/src/arbutusdale/sched/restarted_worker_test.cpp
@@ -223,3 +223,88 @@
   f.timer.advance(500ms);
   cr_assert(!f.fleet.at(id).runs.empty());
 }
+
+// Guards against a second run of a task whose worker restarts between the stop order and the late
+// start: the new incarnation does not know of the stop.
+Test(late_start, does_not_double_a_task_after_a_restart) {
+  FleetFixture fixture(2);
+  fixture.fleet.work_of = [](const jobs::TaskId&) { return 4s; };
+  LeaderFixture leader(fixture.timer, fixture.fleet, fixture.log);
+  fixture.timer.advance(1s);
+  FakeWorker& first = fixture.fleet.at("w00");
+  first.start_delay = 2900ms;
+  JobBuilder job(1);
+  job.step(1, 2'000);
+  leader.submit(job);
+  fixture.timer.advance(100ms);
+  WorkerEntry entry = first.entry;
+  entry.state = WorkerState::draining;
+  leader.scheduler->on_worker_updated(entry);
+  fixture.timer.advance(2750ms);
+  first.start_delay = 0s;
+  fixture.fleet.restart("w00");
+  fixture.timer.advance(12s);
+  cr_assert_eq(fixture.fleet.doubled, 0U);
+}
+
+// Guards against a second run of a task that went elsewhere although its unanswered start may still
+// reach the next incarnation of the worker: it returns to the worker, which answers again.
+Test(late_start, a_task_returns_to_the_worker_that_left_its_start_unanswered) {
+  RestartFixture fixture;
+  fixture.worker.start_delay = 10s;
+  fixture.submit();
+  fixture.timer.advance(1s);
+  fixture.set_state("w01", WorkerState::ready);
+  fixture.worker.start_delay = 0s;
+  fixture.timer.advance(2s);
+  cr_assert_eq(fixture.worker.runs.size(), 1U);
+  cr_assert_eq(fixture.worker.runs.front().number, 2U);
+}
+
+// Guards against a task that hangs on a ready worker that leaves every start unanswered.
+Test(late_start, a_task_leaves_a_worker_that_left_two_runs_unanswered) {
+  RestartFixture fixture;
+  fixture.worker.start_delay = 30s;
+  fixture.submit();
+  fixture.timer.advance(1s);
+  fixture.set_state("w01", WorkerState::ready);
+  fixture.timer.advance(5s);
+  cr_assert_eq(fixture.fleet.at("w01").runs.size(), 1U);
+}
+
+// Guards against a second run of a task whose later run ended with a restart of its worker: the
+// start of the earlier run reaches the next incarnation before that has confirmed a stop.
+Test(late_start, an_earlier_run_is_not_started_by_the_next_incarnation) {
+  for (int restart_ms = 0; restart_ms < 1'500; restart_ms += 50) {
+    RestartFixture fixture;
+    fixture.worker.start_delay = 5s;
+    fixture.submit();
+    fixture.timer.advance(1s);
+    fixture.set_state("w01", WorkerState::ready);
+    fixture.worker.start_delay = 0s;
+    fixture.timer.advance(std::chrono::milliseconds{2'600 + restart_ms});
+    cr_assert_eq(fixture.worker.runs.size(), 1U);
+    fixture.fleet.restart("w00");
+    fixture.timer.advance(10s);
+    cr_expect_eq(fixture.fleet.doubled, 0U, "restart %d", restart_ms);
+    cr_expect_eq(fixture.fleet.running(), 1U, "restart %d", restart_ms);
+  }
+}
+
+// Guards against tasks that wait because another task of their step waits for the worker that left
+// its start unanswered.
+Test(late_start, a_task_that_awaits_a_late_start_holds_up_no_other_task) {
+  RestartFixture fixture;
+  fixture.worker.start_delay = 10s;
+  JobBuilder job(1);
+  job.step(5, 2'000);
+  fixture.leader.submit(job);
+  fixture.timer.advance(100ms);
+  fixture.set_state("w00", WorkerState::draining);
+  fixture.set_state("w01", WorkerState::ready);
+  fixture.timer.advance(2s);
+  cr_assert_eq(fixture.fleet.at("w01").runs.size(), 1U);
+  fixture.leader.scheduler->on_worker_gone("w00");
+  fixture.timer.advance(1s);
+  cr_assert_eq(fixture.fleet.at("w01").runs.size(), 4U);
+}
--- a/src/arbutusdale/sched/scheduler_orders.cpp
+++ b/src/arbutusdale/sched/scheduler_orders.cpp
@@ -46,6 +46,7 @@
   Run run;
   run.number = number;
   run.worker = worker.slot;
+  run.start_in_flight = true;
   run.order_sent_at = now;
   run.progressed_at = now;
   task.runs.push_back(run);
@@ -99,6 +100,7 @@
                      if (!reply && reply.error().reason == OrderFailure::unknown) {
                        Worker& used = m_workers.at(slot);
                        used.note_unanswered_start(id, number, sent);
+                       note_late_start(id, number, slot, sent);
                        used.note_unanswered_order(endpoint.incarnation, sent);
                        withhold_if_unreliable(used);
                      }
@@ -117,12 +119,14 @@
   if (run == nullptr) {
     return;  // has ended in the meantime
   }
+  run->start_in_flight = false;
   Worker& worker = m_workers.at(run->worker);
   const bool again = !reply && reply.error().reason == OrderFailure::unknown && !run->resent &&
                      run->phase == RunPhase::starting && may_start();
   if (again) {
     // The order is idempotent, since it has the same run number.
     run->resent = true;
+    run->start_in_flight = true;
     send_start(*task, *run);
     return;
   }
@@ -143,6 +147,21 @@
   }
 }
 
+// A later run of the task may have been started in the meantime; its worker counts then.
+void Scheduler::note_late_start(const jobs::TaskId& id, std::uint32_t number, WorkerSlot worker,
+                                TimePoint sent) {
+  Job* job = m_tasks.find(id.job);
+  Task* task = job == nullptr ? nullptr : job->find_task(id);
+  if (task == nullptr || number < task->last_run) {
+    return;
+  }
+  LateStart& late = task->late_start;
+  const bool same_worker = late.unanswered_runs > 0 && late.worker == worker;
+  const bool same_run = same_worker && late.run == number;
+  const std::uint32_t earlier = same_worker ? late.unanswered_runs : 0;
+  late = LateStart{worker, number, same_run ? earlier : earlier + 1, sent};
+}
+
 void Scheduler::on_start_error(Task& task, Run& run, Worker& worker, const OrderError& error) {
   // The answer to a repeated start proves nothing about the first one, which may have been carried
   // out or may still be.
--- a/src/arbutusdale/sched/scheduler_placement.cpp
+++ b/src/arbutusdale/sched/scheduler_placement.cpp
@@ -88,7 +88,9 @@
     }
     const bool placed =
         step.spec->gang() ? place_gang(step) : place_task(task, round) || place_starved(task);
-    if (!placed) {
+    const bool waits_alone =
+        !placed && !step.spec->gang() && awaits_late_start(placement_view(), task);
+    if (!placed && !waits_alone) {
       unplaced.insert(&step);
       if (step.job->terms().advised()) {
         unadvised.push_back(&step);
--- a/src/arbutusdale/sched/scheduler_polling.cpp
+++ b/src/arbutusdale/sched/scheduler_polling.cpp
@@ -222,7 +222,7 @@
     return;
   }
   const jobs::TaskId id = task.step->job->task_id(task);
-  const bool may_start = worker.may_still_start(id, ref.number, m_timer.now());
+  const bool may_start = worker.may_still_start(id, m_timer.now());
   if (run->listed && !may_start) {
     presume_ended(worker, ref, k_reason);
     return;
@@ -237,17 +237,37 @@
 
 // The new incarnation does not know which runs the earlier one was told to stop.
 void Scheduler::stop_late_starts(Worker& worker) {
-  for (const UnansweredStart& start : worker.unanswered) {
+  for (const UnansweredStart& start : std::vector<UnansweredStart>(worker.unanswered)) {
     const bool is_known =
         std::any_of(worker.runs.begin(), worker.runs.end(), [&start](const RunRef& ref) {
           return ref.number == start.run && ref.task->step->job->task_id(*ref.task) == start.task;
         });
-    if (!is_known && m_timer.now() - start.sent_at <= k_late_order_bound) {
-      stop_unwanted_run(worker, start.task, start.run);
+    if (is_known || m_timer.now() - start.sent_at > k_late_order_bound) {
+      continue;
+    }
+    Task* task = find_reported_task(start.task);
+    if (task != nullptr && task->phase == TaskPhase::waiting) {
+      await_stop_of_late_start(*task, worker, start.run);
+      continue;
     }
+    stop_unwanted_run(worker, start.task, start.run);
   }
 }
 
+// The task waits until the new incarnation has confirmed that it will not carry out the start.
+void Scheduler::await_stop_of_late_start(Task& task, Worker& worker, std::uint32_t number) {
+  m_ready.remove(task);
+  task.phase = TaskPhase::active;
+  task.last_run = std::max(task.last_run, number);
+  Run run;
+  run.number = number;
+  run.worker = worker.slot;
+  run.progressed_at = m_timer.now();
+  task.runs.push_back(run);
+  worker.add_run(task, number);
+  stop_run(task, task.runs.back(), "its worker has restarted");
+}
+
 TimePoint Scheduler::leases_expire_at(const Worker& worker) const {
   if (!worker.lease.knows_clock()) {
     return worker.last_answer + k_late_order_bound;
--- a/src/arbutusdale/sched/scheduler_runs.cpp
+++ b/src/arbutusdale/sched/scheduler_runs.cpp
@@ -94,6 +94,7 @@
         .write();
   }
   task.failed_on.push_back(worker.slot);
+  task.late_start = LateStart{};  // it was carried out; the next run is better off elsewhere
   const auto& failed = task.failed_runs;
   const bool counted = std::find(failed.begin(), failed.end(), number) != failed.end();
   if (counted || task.phase == TaskPhase::done || task.step->spec->long_running()) {
@@ -208,8 +209,9 @@
     if (run == nullptr) {
       continue;
     }
-    const bool is_conclusive = run->phase == RunPhase::running ||
-                               (run->phase == RunPhase::stopping && run->stop_confirmed);
+    const bool is_conclusive =
+        run->phase == RunPhase::running ||
+        (run->phase == RunPhase::stopping && run->stop_confirmed && !run->start_in_flight);
     if (!is_conclusive || run->confirmed_at >= context.sent) {
       continue;
     }
--- a/src/arbutusdale/sched/worker_table.cpp
+++ b/src/arbutusdale/sched/worker_table.cpp
@@ -75,9 +75,9 @@
   unanswered.push_back({task, run, sent_at});
 }
 
-bool Worker::may_still_start(const jobs::TaskId& task, std::uint32_t run, TimePoint now) const {
+bool Worker::may_still_start(const jobs::TaskId& task, TimePoint now) const {
   return std::any_of(unanswered.begin(), unanswered.end(), [&](const UnansweredStart& start) {
-    return start.run == run && start.task == task && now - start.sent_at <= k_late_order_bound;
+    return start.task == task && now - start.sent_at <= k_late_order_bound;
   });
 }
 
