Count starts beyond a worker's capacity in the fake fleet

A worker's capacity may shrink and grow while it runs, and a start must not bring a worker that does not guard its capacity over it. No test could see this: the fake workers neither knew what a task reserves nor took time to stop.

The fake fleet now looks up what a task reserves, counts a start after which the worker's runs, also those that are being stopped, fit neither the present capacity nor one that it had within a grace time before the order was sent, and can take time to stop a run. The soak of the fleet fails on such starts too.

--- a/src/arbutusdale/fleet/cluster_test.hpp
+++ b/src/arbutusdale/fleet/cluster_test.hpp
@@ -346,6 +346,7 @@
       };
     }
     store.page_size = 100;
+    fleet.need_of = [this](const jobs::TaskId& task) { return need_of(task); };
     if (std::getenv("ARBUTUSDALE_TEST_EVENTS") != nullptr) {
       write_events();
     }
@@ -383,6 +384,15 @@
     }
     return daemons.size();
   }
+  /// Resources that a run of the task reserves, as the first daemon that knows its job sees it.
+  [[nodiscard]] Resources need_of(const jobs::TaskId& task) const {
+    for (const auto& daemon : daemons) {
+      if (daemon->node && daemon->node->jobs().find(task.job) != nullptr) {
+        return sched::reserved_by(daemon->node->jobs(), task);
+      }
+    }
+    return {};
+  }
   /// Submits a job at one daemon; the outcome is appended to `outcomes`.
   void submit(std::size_t daemon, std::uint32_t number, std::uint32_t tasks = 2) {
     sched::JobBuilder job(number);
--- /dev/null
+++ b/src/arbutusdale/sched/capacity_test.cpp
@@ -0,0 +1,325 @@
+// Tests of workers whose capacity shrinks and grows again while they run tasks. The workers start
+// whatever they are told to start.
+#include <chrono>
+#include <cstdint>
+#include <cstdio>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "sched_fixture_test.hpp"
+#include <criterion/criterion.h>
+
+using namespace arbutusdale;
+using namespace arbutusdale::sched;
+using namespace std::chrono_literals;
+using proto::jobs::JobState;
+
+namespace {
+
+constexpr std::uint64_t k_cpu_millis = 8'000;
+constexpr std::uint64_t k_memory_mib = 256'000;
+constexpr Resources k_whole{k_cpu_millis, k_memory_mib, 0};
+/// A heartbeat interval, and the time until a leader has read the registration.
+constexpr Duration k_announce_delay = 1'700ms;
+/// Age of an order that was sent just before the registration was read.
+constexpr Duration k_order_age = 1ms;
+
+/// Leaders of a fleet that read each change of a worker's capacity after a delay.
+struct CapacityFixture : FleetFixture {
+  std::vector<std::unique_ptr<LeaderFixture>> leaders;
+  std::map<std::string, WorkerEntry> announced;  // by worker id
+
+  explicit CapacityFixture(int workers = 2) : FleetFixture(workers, k_cpu_millis) {
+    fleet.capacity_grace = k_announce_delay + k_order_age;
+    for (const auto& [id, worker] : fleet.all()) {
+      announced[id] = worker->entry;
+    }
+    lead();
+    timer.advance(500ms);
+  }
+
+  LeaderFixture& leader() { return *leaders.back(); }
+  /// Begins the next term, with the registrations that have been read so far.
+  LeaderFixture& lead() {
+    const auto term = static_cast<std::uint32_t>(leaders.size() + 1);
+    leaders.push_back(std::make_unique<LeaderFixture>(timer, fleet, log, term));
+    for (const auto& [id, entry] : announced) {
+      leader().scheduler->on_worker_updated(entry);
+    }
+    return leader();
+  }
+  void resize(const std::string& id, const Resources& capacity) {
+    fleet.set_capacity(id, capacity);
+    timer.call_after(k_announce_delay, [this, id, entry = fleet.at(id).entry] {
+      announced[id] = entry;
+      for (const auto& each : leaders) {
+        each->scheduler->on_worker_updated(entry);
+      }
+    });
+  }
+  void resize_all(const Resources& capacity) {
+    for (const auto& [id, entry] : announced) {
+      resize(id, capacity);
+    }
+  }
+  void expect_no_violation() const {
+    for (const std::string& violation : fleet.violations) {
+      std::fprintf(stderr, "%s\n", violation.c_str());
+    }
+    cr_assert_eq(fleet.over_capacity, 0U);
+    cr_assert_eq(fleet.doubled, 0U);
+  }
+  [[nodiscard]] bool is_over_capacity(const std::string& id) {
+    const FakeWorker& worker = fleet.at(id);
+    return !fits(fleet.reserved_on(worker), worker.entry.capacity);
+  }
+};
+
+JobBuilder simple_job(std::uint32_t number, std::uint32_t tasks, std::uint64_t cpu_millis = 1'000) {
+  JobBuilder job(number);
+  job.step(tasks, cpu_millis);
+  return job;
+}
+
+JobBuilder opportunistic_job(std::uint32_t number, std::uint32_t tasks, std::uint64_t cpu_millis) {
+  JobBuilder job(number, 2);
+  auto& step = job.step(tasks, cpu_millis);
+  step.set_opportunistic(true);
+  step.set_image("batch");
+  return job;
+}
+
+StartOrder start_order(std::uint32_t job, std::uint32_t run) {
+  StartOrder order;
+  order.task = {job_id(job), 0, 0, run};
+  order.run = run;
+  order.lease_until_ms = 60'000;
+  return order;
+}
+
+}  // namespace
+
+// Guards against the other tests passing because the fake fleet counts no start beyond a capacity,
+// or not what is being stopped.
+Test(capacity, the_fake_fleet_counts_starts_beyond_the_capacity) {
+  FleetFixture fixture(1, 4'000);
+  JobBuilder job = simple_job(1, 8, 1'500);
+  fixture.log.jobs.apply_job_record({0, jobs::encode(job.record)});
+  FakeWorker& worker = fixture.fleet.at("w00");
+  worker.stop_time = 900ms;
+  fixture.fleet.work_of = [](const jobs::TaskId&) { return 600s; };
+  const WorkerEndpoint endpoint{"w00", "w00", 1};
+  const auto start = [&](std::uint32_t run) {
+    fixture.fleet.start(endpoint, start_order(1, run), [](const auto&) {});
+    fixture.timer.advance(20ms);
+  };
+  start(1);
+  start(2);
+  cr_assert_eq(fixture.fleet.over_capacity, 0U);
+  fixture.fleet.stop(endpoint, {start_order(1, 1).task, 1, 0}, [](const auto&) {});
+  fixture.timer.advance(20ms);
+  start(3);
+  cr_assert_eq(fixture.fleet.over_capacity, 1U, "the first run is being stopped");
+  fixture.timer.advance(1s);
+  cr_assert_eq(worker.runs.size(), 2U);
+  fixture.fleet.set_capacity("w00", {8'000, k_memory_mib, 0});
+  start(4);
+  fixture.fleet.set_capacity("w00", {0, k_memory_mib, 0});
+  start(5);
+  cr_assert_eq(fixture.fleet.over_capacity, 1U, "the grace time has not passed");
+  fixture.timer.advance(5s);
+  start(6);
+  cr_assert_eq(fixture.fleet.over_capacity, 2U);
+  worker.guards_capacity = true;
+  start(7);
+  cr_assert_eq(fixture.fleet.over_capacity, 2U);
+  cr_assert_eq(worker.runs.size(), 5U);
+}
+
+// Guards against starts beyond a capacity that has shrunk to less than what is committed, against
+// runs that are stopped for it, and against tasks that wait forever once it has grown again.
+Test(capacity, shrinks_below_what_is_committed_and_grows_again) {
+  for (const std::uint64_t cpu_millis : {7'500U, 4'000U, 1'000U, 0U}) {
+    CapacityFixture fixture;
+    fixture.leader().submit(simple_job(1, 100));
+    fixture.timer.advance(600ms);
+    cr_assert_eq(fixture.fleet.running(), 16U);
+    fixture.resize_all({cpu_millis, k_memory_mib, 0});
+    fixture.timer.advance(k_announce_delay + 1500ms);
+    for (const auto& [id, worker] : fixture.fleet.all()) {
+      cr_assert(!fixture.is_over_capacity(id));
+      cr_assert_eq(worker->runs.size(), cpu_millis / 1'000, "%zu runs, %lu", worker->runs.size(),
+                   cpu_millis);
+    }
+    fixture.resize_all(k_whole);
+    fixture.timer.advance(20s);
+    fixture.expect_no_violation();
+    cr_assert_eq(fixture.leader().state(1), JobState::COMPLETED);
+    cr_assert_eq(fixture.fleet.starts, 100U);
+  }
+}
+
+// Guards against starts beyond a memory or a number of accelerators that has shrunk alone.
+Test(capacity, shrinks_only_memory_or_only_accelerators) {
+  for (const Resources& shrunk :
+       {Resources{k_cpu_millis, 450, 4}, Resources{k_cpu_millis, 0, 4},
+        Resources{k_cpu_millis, k_memory_mib, 1}, Resources{k_cpu_millis, k_memory_mib, 0}}) {
+    CapacityFixture fixture;
+    const Resources whole{k_cpu_millis, k_memory_mib, 4};
+    fixture.resize_all(whole);
+    fixture.timer.advance(2s);
+    JobBuilder job(1);
+    job.step(30, 1'000).set_accelerators(1);
+    fixture.leader().submit(job);
+    fixture.timer.advance(600ms);
+    cr_assert_eq(fixture.fleet.running(), 8U);
+    fixture.resize_all(shrunk);
+    fixture.timer.advance(k_announce_delay + 1500ms);
+    cr_assert(!fixture.is_over_capacity("w00"));
+    fixture.resize_all(whole);
+    fixture.timer.advance(12s);
+    fixture.expect_no_violation();
+    cr_assert_eq(fixture.leader().state(1), JobState::COMPLETED);
+    cr_assert_eq(fixture.fleet.starts, 30U);
+  }
+}
+
+// Guards against starts in flight that are not counted when a smaller capacity is read.
+Test(capacity, shrinks_while_starts_are_in_flight) {
+  for (int offset_ms = 0; offset_ms <= 60; offset_ms += 3) {
+    CapacityFixture fixture(1);
+    fixture.fleet.start_latency = 40ms;
+    fixture.resize("w00", {4'000, k_memory_mib, 0});
+    fixture.timer.advance(k_announce_delay - std::chrono::milliseconds{offset_ms});
+    fixture.leader().submit(simple_job(1, 6));
+    fixture.leader().submit(simple_job(2, 12));
+    fixture.timer.advance(3s);
+    fixture.resize("w00", k_whole);
+    fixture.timer.advance(8s);
+    fixture.expect_no_violation();
+    cr_assert_eq(fixture.leader().state(2), JobState::COMPLETED);
+    cr_assert_eq(fixture.fleet.starts, 18U);
+  }
+}
+
+// Guards against the capacity of runs that are being stopped being given to others before they have
+// ended, also when it shrinks meanwhile.
+Test(capacity, shrinks_while_runs_are_being_stopped) {
+  for (const std::uint64_t cpu_millis : {std::uint64_t{8'000}, std::uint64_t{3'000}}) {
+    for (int offset_ms = -600; offset_ms <= 900; offset_ms += 100) {
+      CapacityFixture fixture(1);
+      fixture.fleet.at("w00").stop_time = 900ms;
+      fixture.fleet.work_of = [](const jobs::TaskId& task) {
+        return Duration{task.job == job_id(1) ? 600s : 1s};
+      };
+      JobBuilder lasting = simple_job(1, 8);
+      lasting.record.mutable_spec()->mutable_steps(0)->set_long_running(true);
+      fixture.leader().submit(lasting);
+      fixture.resize("w00", {cpu_millis, k_memory_mib, 0});
+      fixture.timer.advance(k_announce_delay + std::chrono::milliseconds{offset_ms});
+      cr_assert_eq(fixture.fleet.running(), 8U);
+      fixture.leader().submit(simple_job(2, 10));
+      fixture.leader().cancel(1);
+      fixture.timer.advance(500ms);
+      cr_assert_eq(fixture.fleet.starts, 8U, "all runs are still being stopped (%d ms)", offset_ms);
+      fixture.timer.advance(8s);
+      fixture.expect_no_violation();
+      cr_assert_eq(fixture.leader().state(2), JobState::COMPLETED);
+    }
+  }
+}
+
+// Guards against a gang that is started beyond a capacity that has shrunk, that is broken up for
+// it, or that waits forever once the capacity has grown again.
+Test(capacity, shrinks_below_what_a_gang_needs) {
+  CapacityFixture fixture;
+  fixture.fleet.work_of = [](const jobs::TaskId&) { return 3s; };
+  const auto gang = [](std::uint32_t number) {
+    JobBuilder job(number);
+    job.step(4, 3'000).set_gang(true);
+    return job;
+  };
+  fixture.leader().submit(gang(1));
+  fixture.timer.advance(500ms);
+  cr_assert_eq(fixture.fleet.running(), 4U);
+  fixture.resize("w00", {4'000, k_memory_mib, 0});
+  fixture.leader().submit(gang(2));
+  fixture.timer.advance(2s);
+  cr_assert(fixture.is_over_capacity("w00"));
+  cr_assert_eq(fixture.fleet.running(), 4U, "nothing is stopped");
+  fixture.timer.advance(4s);
+  cr_assert_eq(fixture.leader().state(1), JobState::COMPLETED);
+  cr_assert_eq(fixture.fleet.starts, 4U);
+  fixture.resize("w00", k_whole);
+  fixture.timer.advance(8s);
+  fixture.expect_no_violation();
+  cr_assert_eq(fixture.leader().state(2), JobState::COMPLETED);
+  cr_assert_eq(fixture.fleet.starts, 8U);
+}
+
+// Guards against opportunistic tasks that are stopped, or not resumed, when the capacity shrinks
+// below what they use.
+Test(capacity, shrinks_beside_opportunistic_tasks) {
+  CapacityFixture fixture(1);
+  fixture.fleet.work_of = [](const jobs::TaskId&) { return 4s; };
+  fixture.leader().submit(opportunistic_job(1, 4, 1'800));
+  fixture.timer.advance(500ms);
+  cr_assert_eq(fixture.fleet.running(), 4U);
+  fixture.resize("w00", {0, k_memory_mib, 0});
+  fixture.timer.advance(2s);
+  fixture.leader().submit(opportunistic_job(2, 4, 1'800));
+  fixture.timer.advance(4s);
+  cr_assert_eq(fixture.leader().state(1), JobState::COMPLETED);
+  cr_assert_eq(fixture.fleet.starts, 4U);
+  fixture.resize("w00", k_whole);
+  fixture.timer.advance(8s);
+  fixture.expect_no_violation();
+  cr_assert_eq(fixture.leader().state(2), JobState::COMPLETED);
+  cr_assert_eq(fixture.fleet.starts, 8U);
+}
+
+// Guards against a next leader that does not count runs that it adopts beyond the capacity, or
+// stops them.
+Test(capacity, the_next_leader_adopts_runs_beyond_the_capacity) {
+  for (int offset_ms = 0; offset_ms <= 2'400; offset_ms += 100) {
+    CapacityFixture fixture;
+    fixture.fleet.work_of = [](const jobs::TaskId& task) {
+      return Duration{task.job == job_id(1) ? 7s : 1s};
+    };
+    LeaderFixture& first = fixture.leader();
+    first.submit(simple_job(1, 16));
+    fixture.timer.advance(500ms);
+    cr_assert_eq(fixture.fleet.running(), 16U);
+    first.submit(simple_job(2, 10));
+    fixture.resize("w00", {2'000, k_memory_mib, 0});
+    fixture.timer.advance(std::chrono::milliseconds{offset_ms});
+    first.frozen = true;
+    first.lose_leadership();
+    LeaderFixture& second = fixture.lead();
+    second.submit(simple_job(3, 6));
+    fixture.timer.advance(3s);
+    cr_assert_eq(fixture.fleet.running(), 16U);
+    fixture.timer.advance(10s);
+    fixture.resize("w00", k_whole);
+    fixture.timer.advance(4s);
+    fixture.expect_no_violation();
+    for (const std::uint32_t number : {1U, 2U, 3U}) {
+      cr_assert_eq(second.state(number), JobState::COMPLETED);
+    }
+    cr_assert_eq(fixture.fleet.starts, 32U);
+  }
+}
+
+// Guards against starts beyond the capacity of a worker that restarts with a smaller one.
+Test(capacity, a_worker_restarts_with_a_smaller_capacity) {
+  CapacityFixture fixture(1);
+  fixture.leader().submit(simple_job(1, 40));
+  fixture.timer.advance(600ms);
+  fixture.fleet.restart("w00", 0);
+  fixture.resize("w00", {3'000, k_memory_mib, 0});
+  fixture.timer.advance(20s);
+  fixture.expect_no_violation();
+  cr_assert_eq(fixture.leader().state(1), JobState::COMPLETED);
+}
--- a/src/arbutusdale/sched/fake_fleet_test.hpp
+++ b/src/arbutusdale/sched/fake_fleet_test.hpp
@@ -1,5 +1,5 @@
 // In-memory workers for tests. They carry out orders as real workers do, with injected faults, and
-// count the times that a task runs twice at once.
+// count the times that a task runs twice at once and the starts beyond a worker's capacity.
 #pragma once
 
 #include "arbutusdale/sched/scheduler.hpp"
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -26,6 +27,13 @@
   Duration worked{};         // work done, as time at full speed
   TimePoint worked_until{};  // time up to which `worked` is counted
   std::string payload;
+  std::optional<TimePoint> ends_at;  // while it is being stopped
+};
+
+/// A capacity that a worker no longer has.
+struct EarlierCapacity {
+  Resources capacity;
+  TimePoint replaced_at{};
 };
 
 struct FakeWorker {
@@ -39,9 +47,12 @@
   std::map<std::uint64_t, TimePoint> done_at;  // of the runs in `ended` that count if noted
   std::uint64_t end_count = 0;
   std::map<std::string, std::uint32_t> superseded_through;  // highest run stopped or ended, by task
-  bool partitioned = false;          // receives no orders and sends no answers
-  bool drops_answers = false;        // carries out orders and sends no answers
-  Duration start_delay{};            // starts are not answered and are carried out this much later
+  bool partitioned = false;      // receives no orders and sends no answers
+  bool drops_answers = false;    // carries out orders and sends no answers
+  Duration start_delay{};        // starts are not answered and are carried out this much later
+  Duration stop_time{};          // a run that is stopped ends this much later
+  bool guards_capacity = false;  // refuses starts that do not fit
+  std::vector<EarlierCapacity> earlier_capacities;
   bool fails_all_runs = false;       // every run fails
   bool refuses_connections = false;  // its runs continue
   bool crashed = false;              // its process has ended
@@ -104,6 +115,13 @@
   /// Tail latency of a serving task in ms; CPU in use of other tasks, in thousandths.
   std::function<std::uint64_t(const FakeWorker&, const FakeRun&)> tail_or_cpu_of =
       [](const FakeWorker&, const FakeRun&) { return 0; };
+  /// Resources that a run of the task reserves: without the processors of an opportunistic one.
+  std::function<Resources(const jobs::TaskId&)> need_of = [](const jobs::TaskId&) {
+    return Resources{};
+  };
+  /// A smaller capacity binds orders that are sent later than this after the change: a heartbeat
+  /// and the time until leaders have read it.
+  Duration capacity_grace = std::chrono::milliseconds{4'500};
   FakeAdvisor advisor;
   bool needs_tickets = false;
   Duration start_latency{};  // in addition to the network delay
@@ -112,6 +130,7 @@
   std::uint64_t invalid_tickets = 0;     // starts refused for an invalid ticket
   std::uint64_t doubled = 0;             // starts of a task while another run of it was alive
   std::uint64_t started_after_done = 0;  // starts of a task after a noted run of it that succeeded
+  std::uint64_t over_capacity = 0;       // starts beyond the capacity of an unguarded worker
   std::vector<std::string> violations;   // descriptions of the starts counted above
   std::uint64_t starts = 0;
   std::uint64_t polls = 0;
@@ -133,6 +152,20 @@
   FakeWorker& at(const std::string& id) { return *m_workers.at(id); }
   std::map<std::string, std::unique_ptr<FakeWorker>>& all() { return m_workers; }
 
+  void set_capacity(const std::string& id, const Resources& capacity) {
+    FakeWorker& worker = at(id);
+    worker.earlier_capacities.push_back({worker.entry.capacity, m_timer.now()});
+    worker.entry.capacity = capacity;
+  }
+  /// Resources that the worker's runs reserve, also those that are being stopped.
+  [[nodiscard]] Resources reserved_on(const FakeWorker& worker) const {
+    Resources reserved;
+    for (const FakeRun& run : worker.runs) {
+      reserved = plus(reserved, need_of(run.task));
+    }
+    return reserved;
+  }
+
   /// Ends the worker's process; all its runs are lost, and connections to it are refused.
   void crash(const std::string& id) {
     FakeWorker& worker = at(id);
@@ -180,13 +213,14 @@
         answered(reply);
       });
     };
-    const auto carry_out = [this, order](FakeWorker& worker, const auto& answer) {
-      answer(start_now(worker, order));
+    const TimePoint sent = m_timer.now();
+    const auto carry_out = [this, order, sent](FakeWorker& worker, const auto& answer) {
+      answer(start_now(worker, order, sent));
     };
     const auto found = m_workers.find(to.id);
     if (found != m_workers.end() && found->second->start_delay > Duration::zero()) {
       m_timer.call_after(found->second->start_delay,
-                         [this, id = to.id, order] { (void)start_now(at(id), order); });
+                         [this, id = to.id, order, sent] { (void)start_now(at(id), order, sent); });
       time_out<OrderReply>(done);
       return;
     }
@@ -199,7 +233,7 @@
         answer(tl::unexpected(OrderError{OrderFailure::fenced, clock_of(worker), "fence"}));
         return;
       }
-      end_run(worker, order.task, order.run, RunOutcome::stopped);
+      begin_stop(worker, order);
       auto& superseded = worker.superseded_through[name_of(order.task)];
       superseded = std::max(superseded, order.run);
       answer(OrderReply{clock_of(worker)});
@@ -288,7 +322,8 @@
     });
   }
 
-  tl::expected<OrderReply, OrderError> start_now(FakeWorker& worker, const StartOrder& order) {
+  tl::expected<OrderReply, OrderError> start_now(FakeWorker& worker, const StartOrder& order,
+                                                 TimePoint sent_at) {
     const auto refuse = [&](OrderFailure reason) {
       return tl::unexpected(OrderError{reason, clock_of(worker), "refused"});
     };
@@ -312,6 +347,14 @@
       }
     }
     extend(worker, order.lease_until_ms);
+    if (!fits_on(worker, order, sent_at)) {
+      if (worker.guards_capacity) {
+        return refuse(OrderFailure::no_capacity);
+      }
+      ++over_capacity;
+      violate(fmt::format("run {} of {} starts on {} beyond its capacity", order.run, name,
+                          worker.entry.id));
+    }
     ++starts;
     note_if_doubled(worker, order);
     if (m_noted.contains(name)) {
@@ -329,6 +372,21 @@
     return OrderReply{clock_of(worker)};
   }
 
+  // Whether the start leaves the worker within the capacity that it has, or one that it had within
+  // the grace time before the order was sent. A guarding worker knows only the present one.
+  [[nodiscard]] bool fits_on(const FakeWorker& worker, const StartOrder& order,
+                             TimePoint sent_at) const {
+    const Resources reserved = plus(reserved_on(worker), need_of(order.task));
+    if (fits(reserved, worker.entry.capacity)) {
+      return true;
+    }
+    const auto& earlier = worker.earlier_capacities;
+    return !worker.guards_capacity &&
+           std::any_of(earlier.begin(), earlier.end(), [&](const EarlierCapacity& other) {
+             return other.replaced_at + capacity_grace > sent_at && fits(reserved, other.capacity);
+           });
+  }
+
   // Forgets the ends up to `sequence`. The success of a task counts from then on, unless the
   // worker's lease expired before.
   void note_ends(FakeWorker& worker, std::uint64_t sequence) {
@@ -367,6 +425,18 @@
     violations.push_back(fmt::format("{} ms: {}", m_timer.wall_ms(), text));
   }
 
+  void begin_stop(FakeWorker& worker, const RunOrder& order) {
+    for (FakeRun& run : worker.runs) {
+      const bool is_new = run.task == order.task && run.number == order.run && !run.ends_at;
+      if (is_new && worker.stop_time > Duration::zero()) {
+        run.ends_at = m_timer.now() + worker.stop_time;
+      }
+    }
+    if (worker.stop_time == Duration::zero()) {
+      end_run(worker, order.task, order.run, RunOutcome::stopped);
+    }
+  }
+
   void end_run(FakeWorker& worker, const jobs::TaskId& task, std::uint32_t number,
                RunOutcome outcome) {
     const auto found =
@@ -427,6 +497,10 @@
         run->worked_until = m_timer.now();
         if (clock_of(*worker) > worker->lease_until_ms) {
           end_run(*worker, copy.task, copy.number, RunOutcome::lease_expired);
+        } else if (run->ends_at) {
+          if (m_timer.now() >= *run->ends_at) {
+            end_run(*worker, copy.task, copy.number, RunOutcome::stopped);
+          }
         } else if (worker->fails_all_runs) {
           end_run(*worker, copy.task, copy.number, RunOutcome::failed);
         } else if (run->worked >= work_of(copy.task)) {
--- a/src/arbutusdale/sched/sched_fixture_test.hpp
+++ b/src/arbutusdale/sched/sched_fixture_test.hpp
@@ -42,6 +42,16 @@
   }
 };
 
+/// Resources that a run of the task reserves. Jobs that are no longer known reserve nothing.
+inline Resources reserved_by(const jobs::JobTable& jobs, const jobs::TaskId& task) {
+  const jobs::JobEntry* entry = jobs.find(task.job);
+  if (entry == nullptr || !entry->submitted) {
+    return {};
+  }
+  const auto& step = entry->submitted->spec().steps(static_cast<int>(task.step));
+  return {step.opportunistic() ? 0 : step.cpu_millis(), step.memory_mib(), step.accelerators()};
+}
+
 /// Discards the writes of a leader once a later term has begun, as the store does.
 class TermLog final : public ProgressLog {
  public:
@@ -123,6 +133,7 @@
   FakeProgressLog log{timer};
 
   explicit FleetFixture(int workers = 3, std::uint64_t cpu_millis = 8'000) {
+    fleet.need_of = [this](const jobs::TaskId& task) { return reserved_by(log.jobs, task); };
     for (int i = 0; i < workers; ++i) {
       fleet.add(fmt::format("w{:02}", i), cpu_millis, fmt::format("r{}", i / 4));
     }
