Start nothing on a worker whose capacity is below what is committed

A worker that starts whatever it is told was started beyond its capacity after that had shrunk: the free resources are a difference that ends at zero, so a task that needs none of an exceeded resource still fitted. That holds for opportunistic tasks, which reserve no processors, beside serving tasks that reserve more than the worker still has, and for tasks without memory or accelerators.

A worker now hosts nothing while its commitments exceed its capacity in any resource.

--- a/src/arbutusdale/sched/capacity_test.cpp
+++ b/src/arbutusdale/sched/capacity_test.cpp
@@ -83,6 +83,15 @@
   return job;
 }
 
+JobBuilder serving_job(std::uint32_t number, std::uint32_t tasks) {
+  JobBuilder job(number);
+  auto& step = job.step(tasks, 1'000);
+  step.set_long_running(true);
+  step.set_image("serving");
+  step.set_tail_target_ms(150);
+  return job;
+}
+
 JobBuilder opportunistic_job(std::uint32_t number, std::uint32_t tasks, std::uint64_t cpu_millis) {
   JobBuilder job(number, 2);
   auto& step = job.step(tasks, cpu_millis);
@@ -323,3 +332,63 @@
   fixture.expect_no_violation();
   cr_assert_eq(fixture.leader().state(1), JobState::COMPLETED);
 }
+
+// Guards against a start on a worker that is over its capacity in a resource that the task itself
+// does not need.
+Test(capacity, starts_nothing_that_needs_none_of_what_is_exceeded) {
+  for (const Resources& shrunk :
+       {Resources{6'000, k_memory_mib, 4}, Resources{k_cpu_millis, 500, 4},
+        Resources{k_cpu_millis, k_memory_mib, 3}}) {
+    CapacityFixture fixture(1);
+    fixture.resize_all({k_cpu_millis, k_memory_mib, 4});
+    fixture.timer.advance(2s);
+    fixture.fleet.work_of = [](const jobs::TaskId& task) {
+      return Duration{task.job == job_id(1) ? 8s : 1s};
+    };
+    JobBuilder job(1);
+    auto& step = job.step(4, 1'750);
+    step.set_memory_mib(200);
+    step.set_accelerators(1);
+    fixture.leader().submit(job);
+    fixture.timer.advance(600ms);
+    cr_assert_eq(fixture.fleet.running(), 4U);
+    fixture.resize_all(shrunk);
+    fixture.timer.advance(2s);
+    cr_assert(fixture.is_over_capacity("w00"));
+    JobBuilder other(2);
+    auto& light = other.step(2, shrunk.cpu_millis < k_cpu_millis ? 0 : 100);
+    light.set_memory_mib(0);
+    fixture.leader().submit(other);
+    fixture.timer.advance(2s);
+    cr_assert_eq(fixture.fleet.running(), 4U);
+    fixture.timer.advance(8s);
+    fixture.expect_no_violation();
+    cr_assert_eq(fixture.leader().state(1), JobState::COMPLETED);
+    cr_assert_eq(fixture.leader().state(2), JobState::COMPLETED);
+  }
+}
+
+// Guards against opportunistic tasks that are started beside serving ones that reserve more than
+// the worker still has, against serving tasks that are stopped for it, and against opportunistic
+// tasks that wait forever once the capacity has grown again.
+Test(capacity, shrinks_below_what_serving_tasks_reserve) {
+  for (const std::uint64_t cpu_millis : {std::uint64_t{5'500}, std::uint64_t{0}}) {
+    CapacityFixture fixture(1);
+    fixture.fleet.work_of = [](const jobs::TaskId& task) {
+      return Duration{task.job == job_id(1) ? 600s : 1s};
+    };
+    fixture.leader().submit(serving_job(1, 6));
+    fixture.timer.advance(500ms);
+    fixture.resize("w00", {cpu_millis, k_memory_mib, 0});
+    fixture.timer.advance(2s);
+    fixture.leader().submit(opportunistic_job(2, 4, 800));
+    fixture.timer.advance(8s);
+    cr_assert_eq(fixture.fleet.at("w00").runs.size(), 6U);
+    fixture.resize("w00", k_whole);
+    fixture.timer.advance(12s);
+    fixture.expect_no_violation();
+    cr_assert_eq(fixture.fleet.at("w00").runs.size(), 6U);
+    cr_assert_eq(fixture.leader().state(2), JobState::COMPLETED);
+    cr_assert_eq(fixture.fleet.starts, 10U);
+  }
+}
--- a/src/arbutusdale/sched/placement.cpp
+++ b/src/arbutusdale/sched/placement.cpp
@@ -80,7 +80,9 @@
   if (step.spec->opportunistic()) {
     need.cpu_millis = 0;
   }
-  if (!fits(need, minus(worker.entry.capacity, worker.committed))) {
+  // The difference is zero where the capacity has shrunk below what is committed.
+  if (!fits(worker.committed, worker.entry.capacity) ||
+      !fits(need, minus(worker.entry.capacity, worker.committed))) {
     return false;
   }
   return !step.spec->opportunistic() || has_idle_capacity(view, worker, task);
