Repeat no start on a worker whose capacity has shrunk below its commitments

A start without an answer is sent once more. When the worker's smaller capacity had been read in between, the repeat brought the worker over it: the placement had been right for the capacity of the first attempt only.

Such a start is stopped instead of repeated, as after a second attempt without an answer; the task waits until the stop is confirmed.

--- a/src/arbutusdale/sched/capacity_test.cpp
+++ b/src/arbutusdale/sched/capacity_test.cpp
@@ -392,3 +392,28 @@
     cr_assert_eq(fixture.fleet.starts, 10U);
   }
 }
+
+// Guards against a start without an answer that is not counted while it may still be carried out:
+// the worker can't be reached meanwhile, and its capacity shrinks.
+Test(capacity, a_late_start_takes_effect_after_the_capacity_has_shrunk) {
+  for (int cut_ms = 0; cut_ms <= 3'000; cut_ms += 250) {
+    CapacityFixture fixture(1);
+    FakeWorker& worker = fixture.fleet.at("w00");
+    worker.start_delay = 1'900ms;
+    fixture.resize("w00", {4'000, k_memory_mib, 0});
+    fixture.timer.advance(1'500ms);
+    fixture.leader().submit(simple_job(1, 8));
+    fixture.timer.advance(50ms);
+    worker.start_delay = 0s;
+    worker.partitioned = cut_ms > 0;
+    fixture.timer.advance(std::chrono::milliseconds{cut_ms});
+    worker.partitioned = false;
+    fixture.leader().submit(simple_job(2, 8));
+    fixture.timer.advance(20s);
+    fixture.resize("w00", k_whole);
+    fixture.timer.advance(6s);
+    fixture.expect_no_violation();
+    cr_assert_eq(fixture.leader().state(1), JobState::COMPLETED);
+    cr_assert_eq(fixture.leader().state(2), JobState::COMPLETED);
+  }
+}
--- a/src/arbutusdale/sched/scheduler_orders.cpp
+++ b/src/arbutusdale/sched/scheduler_orders.cpp
@@ -115,7 +115,8 @@
   }
   Worker& worker = m_workers.at(run->worker);
   const bool again = !reply && reply.error().reason == OrderFailure::unknown && !run->resent &&
-                     run->phase == RunPhase::starting && may_start();
+                     run->phase == RunPhase::starting && may_start() &&
+                     fits(worker.committed, worker.entry.capacity);
   if (again) {
     // The order is idempotent, since it has the same run number.
     run->resent = true;
