Log a change of a worker's capacity

A registration that changed nothing but the capacity wrote no line, so logs could not tell which capacity a start was decided on. worker_changed now also tells of it, and it and worker_seen have memory_mib and accelerators beside cpu_millis.

--- a/src/arbutusdale/sched/capacity_test.cpp
+++ b/src/arbutusdale/sched/capacity_test.cpp
@@ -1,5 +1,8 @@
 // Tests of workers whose capacity shrinks and grows again while they run tasks. The workers start
 // whatever they are told to start.
+#include "arbutusdale/observe/event_log.hpp"
+
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <cstdio>
@@ -10,6 +13,8 @@
 
 #include "sched_fixture_test.hpp"
 #include <criterion/criterion.h>
+#include <fcntl.h>
+#include <unistd.h>
 
 using namespace arbutusdale;
 using namespace arbutusdale::sched;
@@ -100,6 +105,29 @@
   return job;
 }
 
+/// Collects the event log of this process.
+class EventCapture {
+ public:
+  explicit EventCapture(const Clock& clock) {
+    cr_assert_eq(::pipe(m_ends.data()), 0);
+    cr_assert_neq(::fcntl(m_ends[0], F_SETFL, O_NONBLOCK), -1);
+    observe::open_event_log(m_ends[1], "daemon", clock, {});
+  }
+  /// The lines since the last call.
+  std::string read() const {
+    observe::flush_event_log();
+    std::string text;
+    std::array<char, 4'096> part{};
+    for (ssize_t size = 0; (size = ::read(m_ends[0], part.data(), part.size())) > 0;) {
+      text.append(part.data(), static_cast<std::size_t>(size));
+    }
+    return text;
+  }
+
+ private:
+  std::array<int, 2> m_ends{};
+};
+
 StartOrder start_order(std::uint32_t job, std::uint32_t run) {
   StartOrder order;
   order.task = {job_id(job), 0, 0, run};
@@ -417,3 +445,22 @@
     cr_assert_eq(fixture.leader().state(2), JobState::COMPLETED);
   }
 }
+
+// Guards against logs that do not tell which capacity a start was decided on.
+Test(capacity, a_change_of_capacity_alone_is_logged) {
+  CapacityFixture fixture(1);
+  const EventCapture events(fixture.timer);
+  fixture.leader().scheduler->on_worker_updated(fixture.announced.at("w00"));
+  cr_assert_eq(events.read().find("worker_changed"), std::string::npos, "nothing has changed");
+  for (const Resources& capacity : {Resources{5'500, k_memory_mib, 0}, Resources{5'500, 1'000, 0},
+                                    Resources{5'500, 1'000, 3}}) {
+    fixture.resize("w00", capacity);
+    fixture.timer.advance(k_announce_delay + 10ms);
+    const std::string text = events.read();
+    cr_assert_neq(text.find(R"("event":"worker_changed","worker":"w00")"), std::string::npos);
+    const std::string fields =
+        fmt::format(R"("cpu_millis":{},"memory_mib":{},"accelerators":{})", capacity.cpu_millis,
+                    capacity.memory_mib, capacity.accelerators);
+    cr_assert_neq(text.find(fields), std::string::npos, "%s", text.c_str());
+  }
+}
--- a/src/arbutusdale/sched/scheduler.cpp
+++ b/src/arbutusdale/sched/scheduler.cpp
@@ -323,6 +323,7 @@
   Worker& worker = m_workers.get_or_add(entry.id);
   const bool added = !worker.registered;
   const bool state_changed = !added && worker.entry.state != entry.state;
+  const bool capacity_changed = !added && worker.entry.capacity != entry.capacity;
   const std::uint64_t known = worker.entry.incarnation;
   const bool may_have_restarted =
       known != 0 && entry.incarnation != known && entry.incarnation != worker.announced_incarnation;
@@ -331,13 +332,15 @@
   worker.entry.incarnation = known == 0 ? entry.incarnation : known;
   worker.registered = true;
   worker.may_exit_at = m_timer.now() + std::chrono::milliseconds{entry.remaining_ms};
-  if (added || state_changed || may_have_restarted) {
+  if (added || state_changed || capacity_changed || may_have_restarted) {
     EventLine(added ? Event::worker_seen : Event::worker_changed)
         .add("worker", entry.id)
         .add("vm", entry.vm)
         .add("failure_domain", entry.failure_domain)
         .add("rack", entry.rack)
         .add("cpu_millis", entry.capacity.cpu_millis)
+        .add("memory_mib", entry.capacity.memory_mib)
+        .add("accelerators", entry.capacity.accelerators)
         .add("incarnation", entry.incarnation)
         .add("state", entry.state == WorkerState::ready ? "ready" : "draining")
         .add("remaining_ms", entry.remaining_ms)
