Compute the free processors of a worker without unsigned differences

free_cpu_millis in run_ordered and the rest in the cost of a placement were unsigned differences that wrap once a worker's commitments exceed its capacity. Since nothing is started on such a worker any more, neither can be reached with these figures now, so no test shows it; the differences end at zero instead of relying on that. Worker::idle_cpu_millis is signed and needs no change. sched_test 89 of 89, fleet_test 34 of 34.

--- a/src/arbutusdale/sched/placement.cpp
+++ b/src/arbutusdale/sched/placement.cpp
@@ -143,8 +143,8 @@
   }
   const auto capacity =
       static_cast<double>(std::max<std::uint64_t>(worker.entry.capacity.cpu_millis, 1));
-  const Resources left = minus(worker.entry.capacity, worker.committed);
-  return cost + static_cast<double>(left.cpu_millis - step.need.cpu_millis) / capacity;
+  const Resources left = minus(minus(worker.entry.capacity, worker.committed), step.need);
+  return cost + static_cast<double>(left.cpu_millis) / capacity;
 }
 
 bool can_host(const PlacementView& view, const Worker& worker, const Task& task) {
--- a/src/arbutusdale/sched/scheduler_orders.cpp
+++ b/src/arbutusdale/sched/scheduler_orders.cpp
@@ -62,7 +62,7 @@
       .add("worker", worker.entry.id)
       .add("image", step.spec->image())
       .add_ms("waited_ms", now - task.ready_at)
-      .add("free_cpu_millis", worker.entry.capacity.cpu_millis - worker.committed.cpu_millis)
+      .add("free_cpu_millis", minus(worker.entry.capacity, worker.committed).cpu_millis)
       .add("idle_cpu_millis", worker.idle_cpu_millis())
       .write();
   send_start(task, run);
