--- a/src/arbutusdale/sched/placement.cpp
+++ b/src/arbutusdale/sched/placement.cpp
@@ -93,7 +93,9 @@
   if (step.spec->opportunistic()) {
     need.cpu_millis = 0;
   }
-  if (!fits(need, minus(worker.entry.capacity, worker.committed))) {
+  // The difference is zero where the capacity has shrunk below what is committed.
+  if (!fits(worker.committed, worker.entry.capacity) ||
+      !fits(need, minus(worker.entry.capacity, worker.committed))) {
     return false;
   }
   return !step.spec->opportunistic() || has_idle_capacity(view, worker, task);
@@ -159,8 +161,8 @@
   }
   const auto capacity =
       static_cast<double>(std::max<std::uint64_t>(worker.entry.capacity.cpu_millis, 1));
-  const Resources left = minus(worker.entry.capacity, worker.committed);
-  return cost + static_cast<double>(left.cpu_millis - step.need.cpu_millis) / capacity;
+  const Resources left = minus(minus(worker.entry.capacity, worker.committed), step.need);
+  return cost + static_cast<double>(left.cpu_millis) / capacity;
 }
 
 bool awaits_late_start(const PlacementView& view, const Task& task) {
--- a/src/arbutusdale/sched/scheduler_orders.cpp
+++ b/src/arbutusdale/sched/scheduler_orders.cpp
@@ -65,7 +65,7 @@
       .add("incarnation", worker.entry.incarnation)
       .add("image", step.spec->image())
       .add_ms("waited_ms", now - task.ready_at)
-      .add("free_cpu_millis", worker.entry.capacity.cpu_millis - worker.committed.cpu_millis)
+      .add("free_cpu_millis", minus(worker.entry.capacity, worker.committed).cpu_millis)
       .add("idle_cpu_millis", worker.idle_cpu_millis())
       .add("isolated", run.isolated ? 1 : 0)
       .write();
@@ -151,7 +151,8 @@
   run->start_in_flight = false;
   Worker& worker = m_workers.at(run->worker);
   const bool again = !reply && reply.error().reason == OrderFailure::unknown && !run->resent &&
-                     run->phase == RunPhase::starting && may_start();
+                     run->phase == RunPhase::starting && may_start() &&
+                     fits(worker.committed, worker.entry.capacity);
   if (again) {
     // The order is idempotent, since it has the same run number.
     run->resent = true;
