Let a run without progress leave the worker that left a start unanswered

A task keeps to the worker that left its last start unanswered. A later run that had begun there and was stopped as slow or stuck went back to the same worker. Its stop supersedes the late start on that incarnation, so the task may go elsewhere.

Before: a_run_without_progress_moves_to_another_worker failed, (worker.runs.size()) == (0U) is false.

--- a/src/arbutusdale/sched/restarted_worker_test.cpp
+++ b/src/arbutusdale/sched/restarted_worker_test.cpp
@@ -286,6 +286,24 @@
   cr_assert_eq(fixture.worker.runs.front().number, 2U);
 }
 
+// Guards against a run that is moved because it makes no progress and starts again on the same
+// worker, since that left an earlier start of the task unanswered.
+Test(late_start, a_run_without_progress_moves_to_another_worker) {
+  RestartFixture fixture;
+  fixture.worker.start_delay = 10s;
+  fixture.submit();
+  fixture.timer.advance(1s);
+  fixture.set_state("w01", WorkerState::ready);
+  fixture.worker.start_delay = 0s;
+  fixture.timer.advance(2s);
+  cr_assert_eq(fixture.worker.runs.size(), 1U);
+  fixture.worker.runs.front().throttle_percent = 0;
+  fixture.timer.advance(8s);
+  cr_assert_eq(fixture.worker.runs.size(), 0U);
+  cr_assert_eq(fixture.fleet.at("w01").runs.size(), 1U);
+  cr_assert_eq(fixture.fleet.at("w01").runs.front().number, 3U);
+}
+
 // Guards against a task that hangs on a ready worker that leaves every start unanswered.
 Test(late_start, a_task_leaves_a_worker_that_left_two_runs_unanswered) {
   RestartFixture fixture;
--- a/src/arbutusdale/sched/scheduler_runs.cpp
+++ b/src/arbutusdale/sched/scheduler_runs.cpp
@@ -279,6 +279,8 @@
     }
     ++task.moves;
     task.failed_on.push_back(worker.slot);
+    task.late_start =
+        LateStart{};  // a later run has begun here; its stop supersedes the late start
     worker.slow_until = now + k_slow_penalty_time;
     stop_run(task, *run, slow ? "it is slower than expected" : "it makes no progress");
   }
