--- a/src/arbutusdale/sched/restarted_worker_test.cpp
+++ b/src/arbutusdale/sched/restarted_worker_test.cpp
@@ -304,6 +304,21 @@
   cr_assert_eq(fixture.fleet.at("w01").runs.front().number, 3U);
 }
 
+// Guards against a run that fails and starts again on the same worker, since that left an earlier
+// start of the task unanswered.
+Test(late_start, a_failed_run_is_followed_by_one_on_another_worker) {
+  RestartFixture fixture;
+  fixture.worker.start_delay = 10s;
+  fixture.submit();
+  fixture.timer.advance(1s);
+  fixture.set_state("w01", WorkerState::ready);
+  fixture.worker.start_delay = 0s;
+  fixture.worker.fails_all_runs = true;
+  fixture.timer.advance(3s);
+  cr_assert_eq(fixture.fleet.at("w01").runs.size(), 1U);
+  cr_assert_eq(fixture.fleet.at("w01").runs.front().number, 3U);
+}
+
 // Guards against a task that hangs on a ready worker that leaves every start unanswered.
 Test(late_start, a_task_leaves_a_worker_that_left_two_runs_unanswered) {
   RestartFixture fixture;
