--- a/src/arbutusdale/sched/capacity_test.cpp
+++ b/src/arbutusdale/sched/capacity_test.cpp
@@ -147,7 +147,7 @@
   FakeWorker& worker = fixture.fleet.at("w00");
   worker.stop_time = 900ms;
   fixture.fleet.work_of = [](const jobs::TaskId&) { return 600s; };
-  const WorkerEndpoint endpoint{"w00", "w00", 1};
+  const WorkerEndpoint endpoint{"w00", worker.entry.address, 1};
   const auto start = [&](std::uint32_t run) {
     fixture.fleet.start(endpoint, start_order(1, run), [](const auto&) {});
     fixture.timer.advance(20ms);
