--- a/src/arbutusdale/sched/placement.cpp
+++ b/src/arbutusdale/sched/placement.cpp
@@ -72,6 +72,15 @@
   return static_cast<double>(free) <= static_cast<double>(workers) * k_reserved_workers_share;
 }
 
+/// A suspect starts only where nothing was started recently; a worker that is reserved for one
+/// takes no other starts.
+bool may_start_beside_suspects(const PlacementView& view, const Worker& worker, const Task& task) {
+  if (!task.crashes.is_suspect()) {
+    return view.now >= worker.reserved_until;
+  }
+  return view.ignores_recent_starts || worker.is_quiet(view.now);
+}
+
 bool has_idle_capacity(const PlacementView& view, const Worker& worker, const Task& task) {
   const auto idle = static_cast<double>(worker.idle_cpu_millis());
   const auto need = static_cast<double>(task.step->need.cpu_millis);
@@ -84,7 +93,9 @@
   if (step.spec->opportunistic()) {
     need.cpu_millis = 0;
   }
-  if (!fits(need, minus(worker.entry.capacity, worker.committed))) {
+  // The difference is zero where the capacity has shrunk below what is committed.
+  if (!fits(worker.committed, worker.entry.capacity) ||
+      !fits(need, minus(worker.entry.capacity, worker.committed))) {
     return false;
   }
   return !step.spec->opportunistic() || has_idle_capacity(view, worker, task);
@@ -94,8 +105,9 @@
 
 bool accepts_tasks(const Worker& worker, const std::string& service, TimePoint now) {
   return worker.registered && worker.entry.state == WorkerState::ready &&
-         !worker.has_unwanted_runs && !worker.is_withheld(now) && now >= worker.quarantined_until &&
-         now >= worker.backoff_until && worker.is_reachable(now) && worker.entry.service == service;
+         !worker.has_unwanted_runs && !worker.is_withheld(now) && worker.isolated_runs == 0 &&
+         now >= worker.quarantined_until && now >= worker.backoff_until &&
+         worker.is_reachable(now) && worker.entry.service == service;
 }
 
 bool accepts_image(const PlacementView& view, const Worker& worker, ImageId image) {
@@ -149,8 +161,8 @@
   }
   const auto capacity =
       static_cast<double>(std::max<std::uint64_t>(worker.entry.capacity.cpu_millis, 1));
-  const Resources left = minus(worker.entry.capacity, worker.committed);
-  return cost + static_cast<double>(left.cpu_millis - step.need.cpu_millis) / capacity;
+  const Resources left = minus(minus(worker.entry.capacity, worker.committed), step.need);
+  return cost + static_cast<double>(left.cpu_millis) / capacity;
 }
 
 bool awaits_late_start(const PlacementView& view, const Task& task) {
@@ -159,7 +171,7 @@
     return false;
   }
   const Worker& worker = view.workers.at(late.worker);
-  if (!worker.registered || view.now - worker.last_answer > k_max_lease) {
+  if (!worker.registered || worker.has_ended || view.now - worker.last_answer > k_max_lease) {
     return false;
   }
   if (worker.entry.state == WorkerState::draining) {
@@ -177,6 +189,9 @@
   if (!accepts_tasks(worker, step.job->terms().service(), view.now)) {
     return false;
   }
+  if (!may_start_beside_suspects(view, worker, task)) {
+    return false;
+  }
   const std::string& label = step.spec->required_label();
   if (!label.empty() && !worker.has_label(label)) {
     return false;
