Compare tasks with all workers when a ranking hides the free ones

Cause: a search of a ranking ends after 48 ineligible workers, which can be the same ones in each round. With 50 of 60 workers without memory but with most of their processors, a task waits although 10 workers are empty.

Change: when the search ends there without a worker, the task is compared with all workers, at most 8 times a round. A step for which that finds no worker leaves the next second's comparisons to others, so that steps at the front of the queue that fit nowhere do not use them up.

--- a/include/arbutusdale/sched/placement_round.hpp
+++ b/include/arbutusdale/sched/placement_round.hpp
@@ -1,12 +1,15 @@
 // Choice of workers for many tasks at once. For bursts on a large fleet, all workers are examined
 // once a round instead of once a task, so that the cost of a start does not grow with the fleet.
 // Tasks with reserved resources take the best fit from a ranking by free processors; opportunistic
-// tasks take the cheapest worker from a ranking made once for each image.
+// tasks take the cheapest worker from a ranking made once for each image. A search of a ranking
+// ends after a number of ineligible workers; as these may be the same in each round, some of the
+// tasks for which it has found none are compared with all workers. The steps take turns at that.
 #pragma once
 
 #include "arbutusdale/sched/placement.hpp"
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -44,6 +47,9 @@
 
   std::optional<WorkerSlot> choose_by_fit(const Task& task);
   std::optional<WorkerSlot> choose_by_image(const Task& task);
+  /// Compares the task with all workers, after a search of a ranking that ended early. Finds
+  /// nothing if it is not the turn of the task's step.
+  std::optional<WorkerSlot> search_all(const Task& task);
   Ranking& free_cpu_ranking(const std::string& service);
   Ranking& image_ranking(const Task& task);
   /// Moves the worker at `stale` to `rank`; its rank has changed since tasks were placed there.
@@ -56,6 +62,7 @@
   std::map<std::string, Ranking> m_free_cpu_rankings;  // by service; ranked by free processors
   std::map<ServiceImage, Ranking> m_image_rankings;    // ranked by cost, lowest first
   std::uint64_t m_workers_examined = 0;
+  std::size_t m_full_searches = 0;  // calls of search_all that compared workers
 };
 
 }  // namespace arbutusdale::sched
--- a/include/arbutusdale/sched/task_table.hpp
+++ b/include/arbutusdale/sched/task_table.hpp
@@ -118,7 +118,8 @@
   std::uint32_t pending_dependencies = 0;
   std::uint64_t remaining_ms = 0;  // estimated length of the longest chain that starts with it
   std::uint32_t tasks_done = 0;
-  std::string chosen_rack;  // of a same-rack step: the rack of its first start
+  std::string chosen_rack;          // of a same-rack step: the rack of its first start
+  TimePoint next_full_search_at{};  // see PlacementRound
   std::vector<Task> tasks;
 
   [[nodiscard]] bool is_done() const { return tasks_done == tasks.size(); }
--- a/src/arbutusdale/sched/placement_round.cpp
+++ b/src/arbutusdale/sched/placement_round.cpp
@@ -1,6 +1,7 @@
 // Rankings of workers, updated as tasks are placed.
 #include "arbutusdale/sched/placement_round.hpp"
 
+#include <chrono>
 #include <cstddef>
 
 namespace arbutusdale::sched {
@@ -10,9 +11,12 @@
 constexpr std::size_t k_compared_workers = 6;
 // From this cost on, a worker is avoided if another fits; see the penalties in placement.cpp.
 constexpr double k_penalized_cost = 2;
-// After this many ineligible workers, the best one found so far is taken or the task waits for the
-// next round.
+// After this many ineligible workers, the best one found so far is taken.
 constexpr std::size_t k_max_ineligible_workers = 48;
+// Comparisons with all workers in a round, for tasks whose search has ended early without a worker.
+constexpr std::size_t k_max_full_searches = 8;
+// A step for which such a comparison finds no worker leaves the next ones to other steps this long.
+constexpr Duration k_full_search_interval = std::chrono::seconds{1};
 
 double free_cpu(const Worker& worker) {
   return static_cast<double>(minus(worker.entry.capacity, worker.committed).cpu_millis);
@@ -83,7 +87,7 @@
     ++next;
     if (!is_eligible(m_view, worker, task)) {
       if (++ineligible >= k_max_ineligible_workers) {
-        break;
+        return best ? best : search_all(task);
       }
       continue;
     }
@@ -100,6 +104,20 @@
   return best;
 }
 
+std::optional<WorkerSlot> PlacementRound::search_all(const Task& task) {
+  Step& step = *task.step;
+  if (m_full_searches >= k_max_full_searches || m_view.now < step.next_full_search_at) {
+    return std::nullopt;
+  }
+  ++m_full_searches;
+  m_workers_examined += m_view.workers.all().size();
+  const auto slot = choose_worker(m_view, task);
+  if (!slot) {
+    step.next_full_search_at = m_view.now + k_full_search_interval;
+  }
+  return slot;
+}
+
 PlacementRound::Ranking& PlacementRound::image_ranking(const Task& task) {
   const Step& step = *task.step;
   const auto [found, added] =
@@ -139,7 +157,7 @@
     ++next;
     if (!is_eligible(m_view, worker, task)) {
       if (++ineligible >= k_max_ineligible_workers) {
-        break;
+        return best ? best : search_all(task);
       }
       continue;
     }
