Stop the highest late start of a task after a restart of its worker

After a restart the leader waited for the confirmed stop of the oldest unanswered start of a waiting task only. If the single stop of a later one was lost, the new incarnation could still carry that one out beside a run elsewhere. The stop of the highest run blocks the lower ones, so that one is awaited now.

--- a/src/arbutusdale/sched/scheduler_polling.cpp
+++ b/src/arbutusdale/sched/scheduler_polling.cpp
@@ -256,10 +256,14 @@
 
 // The new incarnation does not know which runs the earlier one was told to stop.
 void Scheduler::stop_late_starts(Worker& worker) {
-  for (const UnansweredStart& start : std::vector<UnansweredStart>(worker.unanswered)) {
+  std::vector<UnansweredStart> starts = worker.unanswered;
+  // The stop of the highest run of a task also blocks the lower ones.
+  std::sort(starts.begin(), starts.end(),
+            [](const UnansweredStart& a, const UnansweredStart& b) { return a.run > b.run; });
+  for (const UnansweredStart& start : starts) {
     const bool is_known =
         std::any_of(worker.runs.begin(), worker.runs.end(), [&start](const RunRef& ref) {
-          return ref.number == start.run && ref.task->step->job->task_id(*ref.task) == start.task;
+          return ref.number >= start.run && ref.task->step->job->task_id(*ref.task) == start.task;
         });
     if (is_known || m_timer.now() - start.sent_at > k_late_order_bound) {
       continue;
