Let a task leave a draining worker once its start has been answered

A start whose answer took longer than 0.3 s and whose repeat was answered still made the task wait for its worker: a serving task that had to leave a draining worker waited for its exit, up to 20 s. The run that has begun and ended there supersedes the late order, so nothing is outstanding.

--- a/src/arbutusdale/sched/restarted_worker_test.cpp
+++ b/src/arbutusdale/sched/restarted_worker_test.cpp
@@ -366,3 +366,22 @@
   fixture.timer.advance(1s);
   cr_assert_eq(fixture.fleet.at("w01").runs.size(), 4U);
 }
+
+// Guards against a serving task that waits for its draining worker to exit although its start was
+// answered after a repeat, so that nothing of it is outstanding there.
+Test(late_start, a_task_whose_repeated_start_was_answered_leaves_a_draining_worker) {
+  RestartFixture fixture;
+  fixture.fleet.work_of = [](const jobs::TaskId&) { return 600s; };
+  fixture.worker.start_delay = 3s;
+  JobBuilder job(1);
+  job.step(1, 2'000).set_long_running(true);
+  fixture.leader.submit(job);
+  fixture.timer.advance(300ms);
+  fixture.worker.start_delay = 0s;
+  fixture.timer.advance(4s);
+  cr_assert_eq(fixture.worker.runs.size(), 1U);
+  fixture.set_state("w01", WorkerState::ready);
+  fixture.set_state("w00", WorkerState::draining);
+  fixture.timer.advance(2s);
+  cr_assert_eq(fixture.fleet.at("w01").runs.size(), 1U);
+}
--- a/src/arbutusdale/sched/scheduler_runs.cpp
+++ b/src/arbutusdale/sched/scheduler_runs.cpp
@@ -243,6 +243,10 @@
     requeue(task);
     return;
   }
+  // The order of a run that has begun and ended is superseded on its worker.
+  if (run->begun_at != TimePoint{} && number >= task.late_start.run) {
+    task.late_start = LateStart{};
+  }
   m_workers.at(run->worker).remove_run(task, number);
   mark_started(*task.step->job);
   std::erase_if(task.runs, [number](const Run& other) { return other.number == number; });
