Check a worker again before a stored start is sent to it

Found by a review, by reading; no test. A start that is stored first was sent although its worker had begun to drain, had gone or had shrunk while the store was slow. The run is dropped then, and the task waits for another worker.

--- a/src/arbutusdale/sched/scheduler_orders.cpp
+++ b/src/arbutusdale/sched/scheduler_orders.cpp
@@ -87,7 +87,10 @@
     if (run == nullptr || run->phase != RunPhase::starting) {
       continue;
     }
-    if (!may_start()) {
+    const Worker& worker = m_workers.at(run->worker);
+    const bool takes_start = worker.registered && worker.entry.state == WorkerState::ready &&
+                             !worker.has_ended && fits(worker.committed, worker.entry.capacity);
+    if (!may_start() || !takes_start) {
       drop_run(*task, start.run);
       continue;
     }
