Ask for advice also for suspects and for tasks that wait for one worker

Found by a review, by reading; no test. On an advised queue a suspect, or a task that waits for the worker that left its start unanswered, never asked for tickets, and the workers to ask about were judged by the first waiting task, so that such a task cut the others of its step off. A starving opportunistic suspect may start beside serving tasks that it is believed to harm, as other starving tasks may.

--- a/src/arbutusdale/sched/scheduler_advice.cpp
+++ b/src/arbutusdale/sched/scheduler_advice.cpp
@@ -46,13 +46,18 @@
 
 // Workers with the most free processors first: some are likely still free when the answer arrives.
 std::vector<WorkerEndpoint> Scheduler::advice_candidates(const Step& step) const {
-  const auto waiting = std::find_if(step.tasks.begin(), step.tasks.end(), [](const Task& task) {
-    return task.phase == TaskPhase::waiting;
+  const PlacementView view = placement_view();
+  auto waiting = std::find_if(step.tasks.begin(), step.tasks.end(), [&view](const Task& task) {
+    return task.phase == TaskPhase::waiting && !task.crashes.is_suspect() &&
+           !awaits_late_start(view, task);
   });
+  if (waiting == step.tasks.end()) {
+    waiting = std::find_if(step.tasks.begin(), step.tasks.end(),
+                           [](const Task& task) { return task.phase == TaskPhase::waiting; });
+  }
   if (waiting == step.tasks.end()) {
     return {};
   }
-  const PlacementView view = placement_view();
   std::vector<std::pair<double, const Worker*>> ranked;
   for (const auto& worker : m_workers.all()) {
     const bool useful =
--- a/src/arbutusdale/sched/scheduler_placement.cpp
+++ b/src/arbutusdale/sched/scheduler_placement.cpp
@@ -90,7 +90,11 @@
     }
     if (task.crashes.is_suspect() && !step.spec->gang()) {
       const bool examined = unplaced_suspects < k_max_unplaced_suspects;
-      unplaced_suspects += examined && !place_suspect(task) ? 1 : 0;
+      const bool fails = examined && !place_suspect(task);
+      unplaced_suspects += fails ? 1 : 0;
+      if (fails && step.job->terms().advised()) {
+        unadvised.push_back(&step);
+      }
       return true;
     }
     const bool plain_batch =
@@ -104,6 +108,9 @@
         step.spec->gang() ? place_gang(step) : place_task(task, round) || place_starved(task);
     const bool waits_alone =
         !placed && !step.spec->gang() && awaits_late_start(placement_view(), task);
+    if (waits_alone && step.job->terms().advised()) {
+      unadvised.push_back(&step);
+    }
     if (!placed && !waits_alone) {
       unplaced.insert(&step);
       if (step.job->terms().advised()) {
@@ -178,6 +185,7 @@
     return false;
   }
   PlacementView view = placement_view();
+  view.allows_harm = is_starved(task);
   if (const auto slot = choose_worker(view, task)) {
     start_run(task, m_workers.at(*slot), next_run_number(task));
     return true;
