Suspect no settled runs, and keep what clears a suspicion over changes of leader

Settled runs make no suspects any more. They count only when no isolated unsettled run explains the crash, and a run that lives for 10 s ends the row.

Found by a review: a cleared suspicion was not stored, so that it came back with the next leader; serving runs stayed recorded as unsettled; a record of a newer incarnation than the roster's was dropped.

--- a/include/arbutusdale/sched/task_table.hpp
+++ b/include/arbutusdale/sched/task_table.hpp
@@ -35,6 +35,7 @@
   bool listed = false;           // a poll reply has listed it, so it has begun on its worker
   bool stop_confirmed = false;   // the worker has answered the stop
   bool stop_in_flight = false;
+  bool settled = false;   // a serving run: the next record no longer names it as unsettled
   bool isolated = false;  // of a suspect: nothing else starts on its worker until it has settled
   TimePoint order_sent_at{};  // the last start or stop
   TimePoint confirmed_at{};   // last confirmation of its start or stop, by an answer or a poll
--- a/include/arbutusdale/sched/worker_table.hpp
+++ b/include/arbutusdale/sched/worker_table.hpp
@@ -112,7 +112,7 @@
   /// True when no run was started recently, so that a suspect can be isolated here.
   [[nodiscard]] bool is_quiet(TimePoint now) const;
   /// What would be recorded if the worker had crashed under the run after its last answer.
-  [[nodiscard]] CrashedRun describe_run(const Task& task, const Run& run) const;
+  [[nodiscard]] CrashedRun describe_run(const Run& run) const;
 
   void add_run(Task& task, std::uint32_t number, bool isolated = false);
   void remove_run(const Task& task, std::uint32_t number);
--- a/src/arbutusdale/sched/crash_records.cpp
+++ b/src/arbutusdale/sched/crash_records.cpp
@@ -17,7 +17,7 @@
   return static_cast<std::uint32_t>(std::clamp<std::int64_t>(ms, 0, max));
 }
 
-void save_crashed_run(const Task& task, const CrashedRun& run, StepProgress& entry) {
+void save_crashed_run(const Task& task, const CrashedRun& run, bool cleared, StepProgress& entry) {
   auto& record = *entry.add_crashed();
   record.set_task(task.index);
   record.set_run(run.number);
@@ -26,6 +26,7 @@
   record.set_settled(run.settled);
   record.set_isolated(run.isolated);
   record.set_prompt(run.prompt);
+  record.set_cleared(cleared);
   record.set_age_ms(to_ms(run.age));
 }
 
@@ -46,6 +47,9 @@
   task.crashes.add({record.run(), record.worker(), record.begun(), record.settled(),
                     record.isolated(), record.prompt(),
                     std::chrono::milliseconds{record.age_ms()}});
+  if (record.cleared()) {
+    task.crashes.clear_suspicion();
+  }
 }
 
 void restore_unsettled_run(Task& task, const proto::jobs::UnsettledRun& record) {
@@ -57,8 +61,10 @@
 }  // namespace
 
 void save_crashes(const Task& task, const WorkerTable& workers, StepProgress& entry) {
+  std::size_t saved = 0;
   for (const CrashedRun& run : task.crashes.runs()) {
-    save_crashed_run(task, run, entry);
+    save_crashed_run(task, run, saved < task.crashes.cleared(), entry);
+    ++saved;
   }
   for (const LostRun& lost : task.lost_runs) {
     if (!lost.run.settled) {
@@ -66,8 +72,12 @@
     }
   }
   for (const Run& run : task.runs) {
+    const bool never_sent = run.phase == RunPhase::stopping && !run.sent && !run.listed;
+    if (never_sent) {
+      continue;
+    }
     const Worker& worker = workers.at(run.worker);
-    const CrashedRun crashed = worker.describe_run(task, run);
+    const CrashedRun crashed = worker.describe_run(run);
     if (!crashed.settled) {
       save_unsettled_run(task, worker, crashed, entry);
     }
--- a/src/arbutusdale/sched/scheduler_crashes.cpp
+++ b/src/arbutusdale/sched/scheduler_crashes.cpp
@@ -48,7 +48,7 @@
     if (run == nullptr || run->stop_confirmed || !(run->sent || run->listed)) {
       continue;
     }
-    CrashedRun crashed = worker.describe_run(*ref.task, *run);
+    CrashedRun crashed = worker.describe_run(*run);
     // Either incarnation of a restarted worker may have answered the start.
     crashed.begun = run->listed || (crashed.begun && worker.silent_since > run->begun_at);
     victims.push_back({ref.task, std::move(crashed)});
@@ -90,8 +90,14 @@
   if (crashed_before && victims.empty()) {
     m_record_first_until = m_timer.now() + k_record_first_time;
   }
+  // An isolated run that had not settled explains the crash without the others.
+  const bool is_explained = std::any_of(victims.begin(), victims.end(), [](const auto& victim) {
+    return victim.run.isolated && !victim.run.settled;
+  });
   for (const CrashVictim& victim : victims) {
-    record_crash(*victim.task, victim.run);
+    if (!is_explained || !victim.run.settled) {
+      record_crash(*victim.task, victim.run);
+    }
   }
 }
 
@@ -134,7 +140,7 @@
   if (run == nullptr || run->stop_confirmed || task.step->job->ending) {
     return;
   }
-  task.lost_runs.push_back({worker.slot, worker.describe_run(task, *run)});
+  task.lost_runs.push_back({worker.slot, worker.describe_run(*run)});
   worker.lost_tasks.push_back(task.step->job->task_id(task));
 }
 
@@ -173,10 +179,12 @@
     worker.answered_address = recorded.address;
     worker.entry.incarnation = recorded.incarnation;
   }
-  const bool is_known = worker.has_answered || worker.entry.incarnation != recorded.incarnation;
-  if (is_known || task.phase == TaskPhase::done) {
+  if (worker.has_answered || task.phase == TaskPhase::done) {
     return;
   }
+  // The roster may be older than the record: it is not written for a restart alone.
+  worker.entry.incarnation = recorded.incarnation;
+  worker.answered_address = recorded.address;
   CrashedRun run;
   run.number = recorded.number;
   run.worker = recorded.worker;
@@ -194,7 +202,7 @@
 
 // The poll in flight may last longer than that, and other suspects wait for the worker.
 void Scheduler::poll_when_settled(const Worker& worker, const Task& task, const Run& run) {
-  const Duration delay = task.crashes.settling_time() + k_start_answer_margin;
+  const Duration delay = k_settling_time + k_start_answer_margin;
   m_timer.call_after(delay, [this, alive = m_alive, slot = worker.slot,
                              id = task.step->job->task_id(task), number = run.number] {
     Job* job = *alive ? m_tasks.find(id.job) : nullptr;
@@ -212,13 +220,28 @@
   });
 }
 
+// Ends the isolation of a run that has settled, and forgets crashes that its task has not caused.
 void Scheduler::settle_run(Worker& worker, Task& task, Run& run) {
-  if (!run.isolated || !worker.describe_run(task, run).settled) {
+  const bool is_serving = task.step->spec->long_running();
+  if (task.crashes.runs().empty() && (!is_serving || run.settled)) {
+    return;
+  }
+  const CrashedRun present = worker.describe_run(run);
+  // The record of a batch task changes soon in any case.
+  if (is_serving && present.settled && !std::exchange(run.settled, true)) {
+    mark_started(*task.step->job);
+  }
+  if (present.age >= k_acquittal_time) {
+    task.crashes.clear();
+    mark_started(*task.step->job);
+  }
+  if (!run.isolated || !present.settled) {
     return;
   }
   run.isolated = false;
   worker.end_isolation(task, run.number);
   task.crashes.clear_suspicion();
+  mark_started(*task.step->job);
   m_place_due = true;
 }
 
--- a/src/arbutusdale/sched/worker_table.cpp
+++ b/src/arbutusdale/sched/worker_table.cpp
@@ -50,7 +50,7 @@
   return isolated_runs == 0 && now - last_start_at >= k_settling_time;
 }
 
-CrashedRun Worker::describe_run(const Task& task, const Run& run) const {
+CrashedRun Worker::describe_run(const Run& run) const {
   CrashedRun crashed;
   crashed.number = run.number;
   crashed.worker = entry.id;
@@ -58,7 +58,7 @@
   crashed.isolated = run.isolated;
   if (crashed.begun) {
     crashed.age = std::max(last_alive - run.begun_at, Duration::zero());
-    crashed.settled = crashed.age >= task.crashes.settling_time();
+    crashed.settled = crashed.age >= k_settling_time;
     crashed.prompt = !crashed.settled && silent_since != TimePoint{} &&
                      silent_since - run.begun_at <= k_prompt_crash_time;
   }
