--- a/include/arbutusdale/sched/task_table.hpp
+++ b/include/arbutusdale/sched/task_table.hpp
@@ -35,6 +35,7 @@
   bool listed = false;           // a poll reply has listed it, so it has begun on its worker
   bool stop_confirmed = false;   // the worker has answered the stop
   bool stop_in_flight = false;
+  bool settled = false;   // a serving run: the next record no longer names it as unsettled
   bool isolated = false;  // of a suspect: nothing else starts on its worker until it has settled
   TimePoint order_sent_at{};  // the last start or stop
   TimePoint confirmed_at{};   // last confirmation of its start or stop, by an answer or a poll
@@ -118,7 +119,8 @@
   std::uint32_t pending_dependencies = 0;
   std::uint64_t remaining_ms = 0;  // estimated length of the longest chain that starts with it
   std::uint32_t tasks_done = 0;
-  std::string chosen_rack;  // of a same-rack step: the rack of its first start
+  std::string chosen_rack;          // of a same-rack step: the rack of its first start
+  TimePoint next_full_search_at{};  // see PlacementRound
   std::vector<Task> tasks;
 
   [[nodiscard]] bool is_done() const { return tasks_done == tasks.size(); }
