--- a/include/arbutusdale/sched/crash_history.hpp
+++ b/include/arbutusdale/sched/crash_history.hpp
@@ -19,7 +19,7 @@
 /// A crash that is noticed this soon after a run had begun is unlikely to be a coincidence.
 inline constexpr Duration k_prompt_crash_time = std::chrono::milliseconds{200};
 /// A run that has lived this long shows that the earlier crashes were not caused by its task.
-inline constexpr Duration k_acquittal_time = std::chrono::seconds{10};
+inline constexpr Duration k_clearing_time = std::chrono::seconds{10};
 
 /// A run that ended with the crash of its worker.
 struct CrashedRun {
@@ -40,7 +40,7 @@
   /// A run of the task has settled on another worker, so the earlier crashes no longer make it a
   /// suspect. They still count as crashes in a row.
   void clear_suspicion() { m_cleared = m_runs.size(); }
-  /// A run of the task has lived for k_acquittal_time.
+  /// A run of the task has lived for k_clearing_time.
   void clear();
 
   /// True when the task may have caused a crash. Its next run has to be isolated.
--- a/include/arbutusdale/sched/scheduler.hpp
+++ b/include/arbutusdale/sched/scheduler.hpp
@@ -139,16 +139,8 @@
   void finish_job(Job& job, proto::jobs::JobState state);
   void stop_all_runs(Job& job, const char* reason);
   void schedule_removal_if_idle(Job& job);
-  void mark_dirty(Job& job);
-  /// The job's starts are stored with the next write, or a little later.
-  void mark_started(Job& job);
-  void flush();
-  void on_flushed(bool stored, const std::vector<jobs::JobId>& written,
-                  const std::vector<ProcessedEnds>& processed);
   /// Places waiting tasks, stores progress and removes ended jobs; called after every event.
   void process_pending();
-  [[nodiscard]] std::optional<store::KeyedValue> roster_entry();
-  [[nodiscard]] bool may_have_runs(const Worker& worker) const;
   void move_runs_off_draining_worker(Worker& worker);
   [[nodiscard]] bool may_start_taken_over_jobs() const;
   [[nodiscard]] bool may_start() const { return m_timer.now() <= m_order_limits.start_until; }
@@ -156,6 +148,16 @@
   /// Time after which all leases of earlier leaders have expired.
   [[nodiscard]] TimePoint earlier_leases_expire_at() const;
 
+  // Storing of progress and of the roster, scheduler_storage.cpp.
+  void mark_dirty(Job& job);
+  /// The job's starts are stored with the next write, or a little later.
+  void mark_started(Job& job);
+  void flush();
+  void on_flushed(bool stored, const std::vector<jobs::JobId>& written,
+                  const std::vector<ProcessedEnds>& processed);
+  [[nodiscard]] std::optional<store::KeyedValue> roster_entry();
+  [[nodiscard]] bool may_have_runs(const Worker& worker) const;
+
   // Placement, scheduler_placement.cpp.
   void place_when_due();
   void place();
--- /dev/null
+++ b/src/arbutusdale/sched/fake_progress_log_test.hpp
@@ -0,0 +1,65 @@
+// Progress log in memory, as a leader writes it and every daemon reads it.
+#pragma once
+
+#include "arbutusdale/sched/scheduler.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "../store/fake_store_test.hpp"
+
+namespace arbutusdale::sched {
+
+/// Progress log in memory.
+class FakeProgressLog final : public ProgressLog {
+ public:
+  explicit FakeProgressLog(store::FakeTimer& timer) : m_timer(timer) {}
+
+  bool down = false;
+  std::uint32_t term = 0;  // of the newest leader
+  jobs::JobTable jobs;     // as every daemon sees it
+
+  void follow(jobs::JobListener& listener) {
+    m_listener = &listener;
+    jobs.set_listener(&listener);
+  }
+  void unfollow(const jobs::JobListener& listener) {
+    if (m_listener == &listener) {
+      jobs.set_listener(nullptr);
+    }
+  }
+  void write(std::vector<store::KeyedValue> entries, std::function<void(bool)> done) override {
+    write_in_term(term, std::move(entries), std::move(done));
+  }
+  /// Discards the entries if a later term begins before they are stored.
+  void write_in_term(std::uint32_t of_term, std::vector<store::KeyedValue> entries,
+                     std::function<void(bool)> done) {
+    m_timer.call_after(std::chrono::milliseconds{15},
+                       [this, of_term, entries = std::move(entries), done = std::move(done)] {
+                         if (of_term != term) {
+                           return;
+                         }
+                         if (down) {
+                           write_in_term(of_term, entries, done);
+                           return;
+                         }
+                         for (const auto& entry : entries) {
+                           jobs.apply_leader_record({m_offset++, entry});
+                         }
+                         done(true);
+                       });
+  }
+
+ private:
+  store::FakeTimer& m_timer;
+  jobs::JobListener* m_listener = nullptr;
+  std::uint64_t m_offset = 0;
+};
+
+}  // namespace arbutusdale::sched
--- /dev/null
+++ b/src/arbutusdale/sched/fake_worker_test.hpp
@@ -0,0 +1,115 @@
+// State of the workers of a fake fleet, and the fake advice service.
+#pragma once
+
+#include "arbutusdale/sched/scheduler.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "../store/fake_store_test.hpp"
+
+namespace arbutusdale::sched {
+
+struct FakeRun {
+  jobs::TaskId task;
+  std::uint32_t number = 0;
+  std::uint32_t throttle_percent = 100;
+  Duration worked{};         // work done, as time at full speed
+  TimePoint worked_until{};  // time up to which `worked` is counted
+  std::string payload;
+  std::optional<TimePoint> ends_at;  // while it is being stopped
+};
+
+/// A capacity that a worker no longer has.
+struct EarlierCapacity {
+  Resources capacity;
+  TimePoint replaced_at{};
+};
+
+struct FakeWorker {
+  WorkerEntry entry;
+  std::uint64_t token = 0;
+  std::uint64_t lease_until_ms = 0;
+  TimePoint started_at{};
+  std::uint64_t first_clock_ms = 0;  // its clock when it started
+  std::vector<FakeRun> runs;
+  std::vector<EndedRun> ended;
+  std::map<std::uint64_t, TimePoint> done_at;  // of the runs in `ended` that count if noted
+  std::uint64_t end_count = 0;
+  std::map<std::string, std::uint32_t> superseded_through;  // highest run stopped or ended, by task
+  bool partitioned = false;      // receives no orders and sends no answers
+  bool drops_answers = false;    // carries out orders and sends no answers
+  Duration start_delay{};        // starts are not answered and are carried out this much later
+  Duration stop_time{};          // a run that is stopped ends this much later
+  bool guards_capacity = false;  // refuses starts that do not fit
+  std::vector<EarlierCapacity> earlier_capacities;
+  bool fails_all_runs = false;       // every run fails
+  bool refuses_connections = false;  // its runs continue
+  bool crashed = false;              // its process has ended
+  bool registered = true;            // false once the registration of a crashed worker has expired
+};
+
+/// How a crashed worker returns.
+enum class Return : std::uint8_t { under_new_id, under_same_id, never };
+
+/// What has happened to one task.
+struct TaskCounts {
+  std::uint32_t starts = 0;
+  std::uint32_t crashes = 0;  // workers that crashed while it ran
+  std::uint32_t starts_after_three_crashes = 0;
+  bool is_deadly = false;  // it crashes each worker that starts it
+};
+
+/// Advice service that gives expiring tickets for the workers in `allowed`.
+class FakeAdvisor final : public Advisor {
+ public:
+  explicit FakeAdvisor(store::FakeTimer& timer) : m_timer(timer) {}
+
+  std::set<std::string> allowed;
+  Duration valid_for = std::chrono::seconds{3};
+  Duration latency = std::chrono::milliseconds{50};
+  int failures = 0;  // the next calls that fail
+  int calls = 0;
+  std::size_t most_named = 0;  // largest number of workers in one call
+
+  void advise(const StepId& step, const std::vector<std::string>& workers, Done done) override {
+    ++calls;
+    most_named = std::max(most_named, workers.size());
+    m_timer.call_after(latency, [this, step, workers, done = std::move(done)] {
+      if (failures > 0) {
+        --failures;
+        done(tl::unexpected(AdviceError{"status 429"}));
+        return;
+      }
+      Advice advice;
+      advice.valid_for = valid_for;
+      for (const std::string& worker : workers) {
+        if (allowed.contains(worker)) {
+          advice.tickets.push_back({worker, step.job.str() + "@" + worker});
+          m_valid_until[advice.tickets.back().text] = m_timer.now() + valid_for;
+        }
+      }
+      done(advice);
+    });
+  }
+
+  /// True when the ticket is valid for a start of a task of the job on the worker.
+  [[nodiscard]] bool accepts(const jobs::JobId& job, const std::string& worker,
+                             const std::string& ticket) const {
+    const auto found = m_valid_until.find(ticket);
+    return found != m_valid_until.end() && m_timer.now() <= found->second &&
+           ticket == job.str() + "@" + worker;
+  }
+
+ private:
+  store::FakeTimer& m_timer;
+  std::map<std::string, TimePoint> m_valid_until;  // by ticket
+};
+
+}  // namespace arbutusdale::sched
--- a/src/arbutusdale/sched/scheduler_crashes.cpp
+++ b/src/arbutusdale/sched/scheduler_crashes.cpp
@@ -231,7 +231,7 @@
   if (is_serving && present.settled && !std::exchange(run.settled, true)) {
     mark_started(*task.step->job);
   }
-  if (present.age >= k_acquittal_time) {
+  if (present.age >= k_clearing_time) {
     task.crashes.clear();
     mark_started(*task.step->job);
   }
