--- a/cmake/module.cmake
+++ b/cmake/module.cmake
@@ -14,11 +14,12 @@
   endif()
 endfunction()
 
-# arbutusdale_test(NAME source...) makes a Criterion test program and registers it with ctest.
+# arbutusdale_test(NAME source...) makes a Criterion test program and registers it with ctest. The
+# variable NAME_arguments adds arguments to its call.
 function(arbutusdale_test name)
   add_executable(${name} ${ARGN})
   target_link_libraries(${name} PRIVATE arbutusdale_options PkgConfig::CRITERION)
-  add_test(NAME ${name} COMMAND ${name} --jobs 4)
+  add_test(NAME ${name} COMMAND ${name} --jobs 4 ${${name}_arguments})
   set_tests_properties(${name} PROPERTIES TIMEOUT 300)
 endfunction()
 
