Visit waiting tasks by step, flush without looking at all workers, and tell lost starts from overload

Cause: with a backlog each placement round and each tick looked at every waiting task, every event looked at all workers for ended runs and for the roster, and one start without an answer halved the window of starts, so that the random loss of the network alone kept it near its floor. The connections kept open (1,024) were fewer than a poll and a start for each of 1,100 workers, so orders opened new ones. Change: the ready queue is grouped by step, ended runs are remembered by worker, the roster is checked at ticks and first answers, the window is halved when a tenth of a sample is unanswered, 3,000 connections stay.

--- a/include/arbutusdale/sched/scheduler.hpp
+++ b/include/arbutusdale/sched/scheduler.hpp
@@ -153,6 +153,7 @@
   /// The job's starts are stored with the next write, or a little later.
   void mark_started(Job& job);
   void flush();
+  [[nodiscard]] std::vector<ProcessedEnds> unstored_ends();
   void on_flushed(bool stored, const std::vector<jobs::JobId>& written,
                   const std::vector<ProcessedEnds>& processed);
   [[nodiscard]] std::optional<store::KeyedValue> roster_entry();
@@ -270,6 +271,10 @@
   std::set<jobs::JobId> m_started;  // jobs with starts to be stored
   TimePoint m_store_starts_at{};    // at the latest, while there are such jobs
   std::vector<PendingStart> m_pending_starts;
+  /// Includes every worker with ended runs whose effects are not stored.
+  std::set<WorkerSlot> m_unstored_workers;
+  bool m_roster_check_due =
+      true;  // at every tick, and when a worker has answered for the first time
   TimePoint m_record_first_until{};  // starts are stored before they are sent
   std::set<jobs::JobId> m_finished;  // jobs to remove once their end is stored
   TimePoint m_started_at{};
--- a/include/arbutusdale/sched/start_window.hpp
+++ b/include/arbutusdale/sched/start_window.hpp
@@ -1,6 +1,9 @@
 // Limits the starts in flight to what the leader and the workers carry: it grows slowly while
-// answers come in time, and halves when a start gets no answer. More starts would wait in the
-// leader's own process until they count as unanswered, and would be stopped and ordered again.
+// answers come in time, and halves when a tenth of the starts get no answer. More starts would wait
+// in the leader's own process until they count as unanswered, and would be stopped and ordered
+// again. A few unanswered starts among many are lost on the network or sent to a worker that fails,
+// and say nothing about the leader: halving for each of them would keep the window at its floor on
+// a fleet of a thousand workers.
 #pragma once
 
 #include "arbutusdale/core/clock.hpp"
@@ -26,8 +29,13 @@
   [[nodiscard]] std::size_t size() const { return m_size; }
 
  private:
+  void halve(TimePoint now);
+
   std::size_t m_size = k_max_starts_in_flight;  // between the two limits
   std::size_t m_answered_in_time = 0;           // since the size last changed
+  /// Results of the present sample, which ends when the window is halved, or after enough results.
+  std::size_t m_results = 0;
+  std::size_t m_unanswered = 0;
   TimePoint m_shrunk_at{};
 };
 
--- a/src/arbutusdale/net/http_client.cpp
+++ b/src/arbutusdale/net/http_client.cpp
@@ -12,7 +12,9 @@
 namespace arbutusdale::net {
 namespace {
 
-constexpr long k_max_cached_connections = 1'024;
+// A poll and some starts of each of a thousand workers; an evicted connection has to be opened
+// again with the next order.
+constexpr long k_max_cached_connections = 3'000;
 constexpr long k_max_connection_age_s = 60;
 constexpr Duration k_max_send_delay = std::chrono::seconds{1};
 constexpr std::size_t k_max_response_bytes = 8'388'608;
--- a/src/arbutusdale/sched/decisions_test.cpp
+++ b/src/arbutusdale/sched/decisions_test.cpp
@@ -139,11 +139,42 @@
   std::vector<std::uint32_t> order;
   queue.for_each([&](const Task& task) {
     order.push_back(static_cast<std::uint32_t>(std::stoul(task.step->job->id.str(), nullptr, 16)));
-    return true;
+    return Visit::next_task;
   });
   cr_assert(order == std::vector<std::uint32_t>({5, 4, 3, 2, 1}));
 }
 
+// Guards against rounds whose cost grows with the tasks of a backlog instead of its steps, and
+// against a visit that continues in a step whose last task it has removed.
+Test(ready_queue, a_visit_can_skip_a_step_and_remove_its_tasks) {
+  store::FakeTimer timer;
+  TaskTable table;
+  ReadyQueue queue;
+  for (std::uint32_t number = 1; number <= 3; ++number) {
+    JobBuilder builder(number, number);
+    builder.step(100, 100);
+    jobs::JobEntry entry;
+    entry.submitted = std::make_shared<jobs::JobSubmitted>(builder.record);
+    Job* job = table.add(job_id(number), entry, timer.wall_ms(), timer.now());
+    for (Step* step : table.open_occurrences(*job, timer.wall_ms())) {
+      for (Task& task : step->tasks) {
+        queue.push(task, timer.now());
+      }
+    }
+  }
+  std::size_t visited = 0;
+  queue.for_each([&](Task& task) {
+    ++visited;
+    if (task.step->job->terms().priority() == 1) {
+      queue.remove(task);
+      return Visit::next_task;
+    }
+    return Visit::next_step;
+  });
+  cr_assert_eq(visited, 102U);
+  cr_assert_eq(queue.size(), 200U);
+}
+
 // Guards against losing the interference evidence in a change of leader.
 Test(interference, evidence_survives_a_change_of_leader) {
   InterferenceTable first;
--- a/src/arbutusdale/sched/ready_queue.cpp
+++ b/src/arbutusdale/sched/ready_queue.cpp
@@ -33,11 +33,7 @@
   return end <= last ? Lateness::late : Lateness::expired;
 }
 
-void ReadyQueue::push(Task& task, TimePoint now) {
-  if (m_keys.contains(&task)) {
-    return;
-  }
-  const Step& step = *task.step;
+ReadyQueue::Key ReadyQueue::make_key(const Step& step, TimePoint now, std::uint64_t arrival) {
   const Job& job = *step.job;
   Key key;
   if (!step.spec->long_running()) {
@@ -46,40 +42,53 @@
     key.unstarted = is_unstarted(step);
   }
   key.due = job.due;
-  key.arrival = ++m_arrivals;
-  m_tasks.emplace(key, &task);
-  m_keys.emplace(&task, key);
+  key.arrival = arrival;
+  return key;
+}
+
+void ReadyQueue::push(Task& task, TimePoint now) {
+  const std::uint64_t arrival = m_arrivals + 1;
+  if (!m_arrivals_of.emplace(&task, arrival).second) {
+    return;
+  }
+  m_arrivals = arrival;
+  const auto [found, added] = m_steps.try_emplace(task.step);
+  WaitingStep& step = found->second;
+  step.tasks.emplace(arrival, &task);
+  if (added) {
+    step.key = make_key(*task.step, now, arrival);
+    m_order.emplace(step.key, task.step);
+  }
 }
 
 void ReadyQueue::remove(Task& task) {
-  const auto found = m_keys.find(&task);
-  if (found == m_keys.end()) {
+  const auto found = m_arrivals_of.find(&task);
+  if (found == m_arrivals_of.end()) {
     return;
   }
-  m_tasks.erase(found->second);
-  m_keys.erase(found);
+  const auto step = m_steps.find(task.step);
+  step->second.tasks.erase(found->second);
+  m_arrivals_of.erase(found);
+  if (step->second.tasks.empty()) {
+    m_order.erase(step->second.key);
+    m_steps.erase(step);
+  }
 }
 
 void ReadyQueue::refresh(TimePoint now) {
-  std::vector<std::pair<Key, Task*>> moved;
-  for (const auto& [key, task] : m_tasks) {
-    const Step& step = *task->step;
-    if (key.rank > 0 &&
-        (lateness_of(step, now) != key.lateness || is_unstarted(step) != key.unstarted)) {
-      moved.emplace_back(key, task);
+  std::vector<std::pair<const Step*, Key>> moved;
+  for (const auto& [key, step] : m_order) {
+    const Key current = make_key(*step, now, key.arrival);
+    if (current != key) {
+      moved.emplace_back(step, current);
     }
   }
-  for (auto& [key, task] : moved) {
-    m_tasks.erase(key);
-    key.lateness = lateness_of(*task->step, now);
-    key.unstarted = is_unstarted(*task->step);
-    m_tasks.emplace(key, task);
-    m_keys[task] = key;
+  for (const auto& [step, key] : moved) {
+    WaitingStep& waiting = m_steps.at(step);
+    m_order.erase(waiting.key);
+    waiting.key = key;
+    m_order.emplace(key, step);
   }
 }
 
-bool ReadyQueue::contains(const Task& task) const {
-  return m_keys.contains(&task);
-}
-
 }  // namespace arbutusdale::sched
--- a/src/arbutusdale/sched/scheduler.cpp
+++ b/src/arbutusdale/sched/scheduler.cpp
@@ -359,6 +359,7 @@
   update_scarcity();
   update_typical_speed();
   m_place_due = true;
+  m_roster_check_due = true;
   process_pending();
 }
 
--- a/src/arbutusdale/sched/scheduler_placement.cpp
+++ b/src/arbutusdale/sched/scheduler_placement.cpp
@@ -78,15 +78,18 @@
   std::unordered_map<ImageId, std::uint64_t> unplaced_cpu;
   m_ready.for_each([&](Task& task) {
     if (m_starts_in_flight >= m_start_window.size()) {
-      return false;  // an answer starts the next round
+      return Visit::stop;  // an answer starts the next round
     }
     Step& step = *task.step;
     const bool opportunistic = step.spec->opportunistic();
     m_place_due = m_place_due || (opportunistic && !batch_due);
-    const bool waits = (step.job->taken_over && !may_start_taken_over) || task.not_before > now ||
-                       (opportunistic && !batch_due) || unplaced.contains(&step);
-    if (waits) {
-      return true;
+    const bool step_waits = (step.job->taken_over && !may_start_taken_over) ||
+                            (opportunistic && !batch_due) || unplaced.contains(&step);
+    if (step_waits) {
+      return Visit::next_step;
+    }
+    if (task.not_before > now) {
+      return Visit::next_task;
     }
     if (task.crashes.is_suspect() && !step.spec->gang()) {
       const bool examined = unplaced_suspects < k_max_unplaced_suspects;
@@ -95,14 +98,14 @@
       if (fails && step.job->terms().advised()) {
         unadvised.push_back(&step);
       }
-      return true;
+      return Visit::next_task;
     }
     const bool plain_batch =
         opportunistic && step.spec->required_label().empty() && !step.job->terms().advised();
     const auto refused = unplaced_cpu.find(step.image);
     if (plain_batch && refused != unplaced_cpu.end() && step.need.cpu_millis >= refused->second &&
         !is_starved(task)) {
-      return true;
+      return m_fleet_is_idle ? Visit::next_task : Visit::next_step;  // another one may be starved
     }
     const bool placed =
         step.spec->gang() ? place_gang(step) : place_task(task, round) || place_starved(task);
@@ -121,7 +124,8 @@
       }
     }
     // Placing a gang removes several tasks from the queue, so the iteration must end.
-    return !(placed && step.spec->gang()) && unplaced.size() < k_max_unplaced_steps;
+    const bool stops = (placed && step.spec->gang()) || unplaced.size() >= k_max_unplaced_steps;
+    return stops ? Visit::stop : Visit::next_task;
   });
   m_workers_examined += round.workers_examined();
   request_advice(unadvised);
@@ -141,11 +145,10 @@
   m_fleet_is_idle =
       static_cast<double>(committed) < static_cast<double>(capacity) * k_idle_fleet_share;
   std::set<ImageId> waiting;
-  m_ready.for_each([&waiting](const Task& task) {
-    if (task.step->spec->opportunistic()) {
-      waiting.insert(task.step->image);
+  m_ready.for_each_step([&waiting](const Step& step) {
+    if (step.spec->opportunistic()) {
+      waiting.insert(step.image);
     }
-    return true;
   });
   m_scarcity.update(m_workers, m_interference, waiting, m_timer.now());
 }
--- a/src/arbutusdale/sched/scheduler_polling.cpp
+++ b/src/arbutusdale/sched/scheduler_polling.cpp
@@ -103,6 +103,7 @@
     m_place_due = true;
   }
   const bool first = !std::exchange(worker.has_answered, true);
+  m_roster_check_due = m_roster_check_due || first;
   worker.unanswered_polls = 0;
   worker.needs_poll = false;
   worker.last_answer = now;
@@ -114,6 +115,7 @@
       continue;
     }
     worker.processed_through = end.sequence;
+    m_unstored_workers.insert(worker.slot);
     apply_ended_run(worker, end);
   }
   update_runs(worker, *reply);
--- a/src/arbutusdale/sched/scheduler_storage.cpp
+++ b/src/arbutusdale/sched/scheduler_storage.cpp
@@ -31,12 +31,7 @@
     m_dirty.merge(m_started);
     m_started.clear();
   }
-  std::vector<ProcessedEnds> processed;
-  for (const auto& worker : m_workers.all()) {
-    if (worker->processed_through > worker->stored_through) {
-      processed.push_back({worker->slot, worker->entry.incarnation, worker->processed_through});
-    }
-  }
+  const std::vector<ProcessedEnds> processed = unstored_ends();
   std::vector<store::KeyedValue> entries;
   std::vector<WorkerSlot> roster_additions;
   if (auto roster = roster_entry()) {
@@ -66,26 +61,38 @@
     written.push_back(id);
   }
   m_flushing = true;
-  m_log.write(std::move(entries),
-              [this, alive = m_alive, written = std::move(written),
-               processed = std::move(processed), starts = std::exchange(m_pending_starts, {}),
-               roster_additions = std::move(roster_additions)](bool stored) {
-                if (!*alive) {
-                  return;
-                }
-                m_flushing = false;
-                if (stored) {
-                  send_recorded_starts(starts);
-                } else {
-                  m_pending_starts.insert(m_pending_starts.end(), starts.begin(), starts.end());
-                }
-                for (const WorkerSlot slot : roster_additions) {
-                  m_workers.at(slot).in_roster = stored;
-                  m_place_due = true;
-                }
-                on_flushed(stored, written, processed);
-                process_pending();
-              });
+  m_log.write(std::move(entries), [this, alive = m_alive, written = std::move(written), processed,
+                                   starts = std::exchange(m_pending_starts, {}),
+                                   roster_additions = std::move(roster_additions)](bool stored) {
+    if (!*alive) {
+      return;
+    }
+    m_flushing = false;
+    if (stored) {
+      send_recorded_starts(starts);
+    } else {
+      m_pending_starts.insert(m_pending_starts.end(), starts.begin(), starts.end());
+    }
+    for (const WorkerSlot slot : roster_additions) {
+      m_workers.at(slot).in_roster = stored;
+      m_place_due = true;
+    }
+    on_flushed(stored, written, processed);
+    process_pending();
+  });
+}
+
+std::vector<Scheduler::ProcessedEnds> Scheduler::unstored_ends() {
+  std::vector<ProcessedEnds> processed;
+  std::erase_if(m_unstored_workers, [this, &processed](WorkerSlot slot) {
+    const Worker& worker = m_workers.at(slot);
+    if (worker.processed_through <= worker.stored_through) {
+      return true;
+    }
+    processed.push_back({slot, worker.entry.incarnation, worker.processed_through});
+    return false;
+  });
+  return processed;
 }
 
 void Scheduler::on_flushed(bool stored, const std::vector<jobs::JobId>& written,
@@ -132,6 +139,9 @@
 
 // The new roster, if the stored one lacks a registered worker or names one that is gone.
 std::optional<store::KeyedValue> Scheduler::roster_entry() {
+  if (!std::exchange(m_roster_check_due, false)) {
+    return std::nullopt;
+  }
   const auto& workers = m_workers.all();
   const bool needed = std::any_of(workers.begin(), workers.end(), [this](const auto& worker) {
     // Others are added with their first answer, and stay while they are registered.
