Divide a large fleet into shards with a leader each

Change: the job table, the leader's partition and its election exist once for each shard. The part of the node that elects and leads is now ShardMember. A daemon defers claims by 400 ms for each shard that it leads, and gives one away to an idle daemon as strong.

--- a/include/arbutusdale/fleet/leader.hpp
+++ b/include/arbutusdale/fleet/leader.hpp
@@ -1,7 +1,9 @@
-// The work of a daemon while it leads: the scheduler, the log of its progress, and heartbeats.
+// The work of a daemon while it leads a shard: the scheduler, the log of its progress, and
+// heartbeats.
 #pragma once
 
 #include "arbutusdale/core/timer.hpp"
+#include "arbutusdale/fleet/node_dependencies.hpp"
 #include "arbutusdale/jobs/job_table.hpp"
 #include "arbutusdale/sched/scheduler.hpp"
 #include "arbutusdale/sched/worker_directory.hpp"
@@ -32,9 +34,9 @@
 class Leader final : private sched::ProgressLog {
  public:
   /// `on_lost` is called from within other members; the owner must not destroy the leader in it.
-  Leader(store::MetadataStore& store, sched::WorkerOrders& orders, sched::Advisor& advisor,
-         Timer& timer, const jobs::JobTable& jobs, const sched::WorkerDirectoryFactory& directory,
+  Leader(const NodeDependencies& dependencies, const jobs::JobTable& jobs, jobs::ShardIndex shard,
          LeadershipClaim claim, std::function<void()> on_lost);
+  ~Leader() override;
 
   /// Receives the jobs submitted and cancelled from now on.
   jobs::JobListener& job_listener() { return m_scheduler; }
@@ -49,6 +51,8 @@
 
   /// Deletes the progress of jobs whose submissions have been deleted.
   void delete_progress(const std::vector<jobs::JobId>& jobs);
+  /// Deletes the records of the moves of these jobs.
+  void delete_moves(const std::vector<jobs::JobId>& jobs);
 
   /// Stops starting tasks and, once the progress written so far is stored, releases the leadership
   /// so that another daemon can claim it.
@@ -67,6 +71,9 @@
   std::function<void()> m_on_lost;
   store::GroupCommit m_log;
   sched::Scheduler m_scheduler;
+  /// Passes the registrations of the shard's workers on to the scheduler.
+  class ShardWorkers;
+  std::unique_ptr<ShardWorkers> m_shard_workers;
   std::unique_ptr<sched::WorkerDirectory> m_directory;
   bool m_releasing = false;
 };
--- a/include/arbutusdale/fleet/leader_election.hpp
+++ b/include/arbutusdale/fleet/leader_election.hpp
@@ -5,6 +5,7 @@
 
 #include "arbutusdale/core/clock.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -32,6 +33,7 @@
   /// existed a short time ago.
   bool stronger_in_touch = false;
   bool stronger_known = false;
+  std::size_t shards_led = 0;  // by this daemon; it leaves further ones to daemons that lead fewer
 };
 
 class LeaderElection {
--- a/include/arbutusdale/fleet/node.hpp
+++ b/include/arbutusdale/fleet/node.hpp
@@ -1,13 +1,13 @@
-// A daemon: its replica of all jobs, the job service for callers, and the leader while it leads.
+// A daemon: its replica of all jobs, the job service for callers, and its part in each shard.
 #pragma once
 
 #include "arbutusdale/core/timer.hpp"
-#include "arbutusdale/fleet/handover_policy.hpp"
 #include "arbutusdale/fleet/job_followers.hpp"
 #include "arbutusdale/fleet/job_service.hpp"
-#include "arbutusdale/fleet/leader.hpp"
-#include "arbutusdale/fleet/leader_election.hpp"
 #include "arbutusdale/fleet/loop_lag.hpp"
+#include "arbutusdale/fleet/node_dependencies.hpp"
+#include "arbutusdale/fleet/shard_layout_agreement.hpp"
+#include "arbutusdale/fleet/shard_member.hpp"
 #include "arbutusdale/fleet/stronger_daemons.hpp"
 #include "arbutusdale/jobs/configuration.hpp"
 #include "arbutusdale/jobs/job_table.hpp"
@@ -16,24 +16,17 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <vector>
 
 namespace arbutusdale::fleet {
 
-struct NodeDependencies {
-  store::MetadataStore& store;
-  sched::WorkerOrders& orders;
-  sched::Advisor& advisor;
-  Timer& timer;
-  sched::WorkerDirectoryFactory directory;
-  std::string daemon;       // name; at most one process with it is alive
-  std::string incarnation;  // unique among all processes that ever wrote to the store
-  double cpu_share = 1;     // fraction of a core that this process may use
-};
-
-/// Statistics of a daemon; those of workers and tasks are 0 unless it leads.
+/// Statistics of a daemon; those of workers and tasks are of the shards that it leads.
 struct NodeStats {
   std::size_t jobs = 0;
+  std::uint32_t shards = 0;  // of the fleet; 0 while unknown
+  std::size_t shards_led = 0;
   std::optional<TimePoint> jobs_fresh_as_of;
   std::size_t waiting_tasks = 0;
   std::size_t registered_workers = 0;
@@ -51,54 +44,46 @@
   void start();
   /// Call every 100 ms.
   void tick();
-  /// Stops claiming the leadership, and releases it if it is held. Calls `done` after the release,
-  /// or at once when there is nothing to release.
+  /// Stops claiming the leadership of shards, and releases those that are held. Calls `done` after
+  /// that, or at once when there is nothing to release.
   void shut_down(std::function<void()> done);
 
   jobs::ConfigurationView& configuration() { return m_configuration; }
   [[nodiscard]] const jobs::JobTable& jobs() const { return m_jobs; }
   JobService& service() { return m_service; }
-  [[nodiscard]] bool is_leader() const { return m_leader != nullptr; }
+  /// True while this daemon leads a shard.
+  [[nodiscard]] bool is_leader() const { return shards_led() > 0; }
+  [[nodiscard]] bool leads(jobs::ShardIndex shard) const;
+  [[nodiscard]] std::size_t shards_led() const;
   [[nodiscard]] NodeStats stats() const;
   /// True when callers can be served.
   [[nodiscard]] bool is_ready() const;
 
  private:
   class JobRecords;
-  class LeaderRecords;
 
   void on_job_record(const store::Record& record);
   void on_jobs_caught_up();
-  void on_leader_record(const store::Record& record);
-  void send_claim();
-  void on_claim_reply(const LeadershipClaim& claim,
-                      const tl::expected<store::AppendReply, store::AppendError>& reply);
-  void become_leader_if_claim_stored();
-  void become_leader(LeadershipClaim claim);
-  void step_down(const char* reason);
-  void hand_over_if_overloaded();
+  void adopt_layout(jobs::ShardLayout layout);
+  void on_led_changed();
+  [[nodiscard]] DaemonState daemon_state() const;
+  /// Names of the daemons that lead shards, by the newest records.
+  [[nodiscard]] std::set<std::string> leading_daemons() const;
   void delete_expired_jobs();
+  void delete_progress(const std::vector<jobs::JobId>& jobs);
+  void delete_old_moves();
 
   NodeDependencies m_deps;
   jobs::ConfigurationView m_configuration;
   jobs::JobTable m_jobs;
   std::unique_ptr<JobRecords> m_job_records;
-  std::unique_ptr<LeaderRecords> m_leader_records;
   JobFollowers m_job_followers;
-  store::PartitionFollower m_leader_follower;
   JobService m_service;
-  LeaderElection m_election;
   StrongerDaemons m_stronger;
   LoopLag m_lag;
-  HandoverPolicy m_handover;
-  std::unique_ptr<Leader> m_leader;
-  /// Sent and without a reply yet, or without one in time, so that its outcome is unknown.
-  std::optional<LeadershipClaim> m_pending_claim;
-  bool m_claim_in_flight = false;
+  std::unique_ptr<ShardLayoutAgreement> m_agreement;    // until the layout is known
+  std::vector<std::unique_ptr<ShardMember>> m_members;  // by shard; empty before
   TimePoint m_next_deletion{};
-  bool m_leadership_lost = false;  // the node steps down in the next tick
-  bool m_handing_over = false;
-  bool m_handed_over = false;  // the release has ended; the node steps down in the next tick
   bool m_stopping = false;
   std::shared_ptr<bool> m_alive;
 };
--- a/include/arbutusdale/fleet/stronger_daemons.hpp
+++ b/include/arbutusdale/fleet/stronger_daemons.hpp
@@ -5,7 +5,10 @@
 #include "arbutusdale/core/clock.hpp"
 #include "arbutusdale/jobs/daemon_presence.hpp"
 
+#include <map>
 #include <optional>
+#include <set>
+#include <string>
 
 namespace arbutusdale::fleet {
 
@@ -22,6 +25,9 @@
 
   /// A stronger daemon has reached the store within the last seconds.
   [[nodiscard]] bool are_in_touch(TimePoint now) const;
+  /// A daemon that is about as strong as this one has reached the store within the last seconds and
+  /// is not one of `leading`.
+  [[nodiscard]] bool is_peer_idle(const std::set<std::string>& leading, TimePoint now) const;
   /// A stronger daemon existed within the last minute; it may have ended.
   [[nodiscard]] bool are_known(TimePoint now) const;
 
@@ -31,6 +37,7 @@
   double m_cpu_share;
   std::optional<TimePoint> m_in_touch_at;
   std::optional<TimePoint> m_known_at;
+  std::map<std::string, TimePoint> m_peers;  // name and newest presence of daemons as strong
 };
 
 }  // namespace arbutusdale::fleet
--- a/include/arbutusdale/observe/event_log.hpp
+++ b/include/arbutusdale/observe/event_log.hpp
@@ -21,6 +21,8 @@
   dependency_lost,
   dependency_regained,
   configuration_applied,
+  shard_layout_known,
+  shard_layout_proposed,
   leadership_claimed,
   leadership_refused,
   leadership_lost,
--- a/include/arbutusdale/sched/scheduler.hpp
+++ b/include/arbutusdale/sched/scheduler.hpp
@@ -65,10 +65,10 @@
             SchedulerOptions options, std::function<void()> on_fenced);
   ~Scheduler() override;
 
-  /// Takes over the jobs known so far, with the roster and interference evidence. Their tasks start
-  /// only after every known worker has answered, or after all leases that an earlier leader may
-  /// have granted have expired.
-  void take_over(const jobs::JobTable& jobs);
+  /// Takes over the jobs of the shard that are known so far, with the roster and interference
+  /// evidence. Their tasks start only after every known worker has answered, or after all leases
+  /// that an earlier leader may have granted have expired.
+  void take_over(const jobs::JobTable& jobs, jobs::ShardIndex shard);
 
   void on_submitted(const jobs::JobId& job, const jobs::JobEntry& entry) override;
   void on_cancelled(const jobs::JobId& job) override;
--- a/src/arbutusdale/fleet/fleet_test.cpp
+++ b/src/arbutusdale/fleet/fleet_test.cpp
@@ -293,7 +293,7 @@
   cluster.store.lost_replies = 1;
   cluster.timer.advance(3s);
   cr_assert_eq(cluster.leaders(), 1);
-  const auto& leadership = cluster.daemons[0]->node->jobs().leadership();
+  const auto& leadership = cluster.daemons[0]->node->jobs().leadership(jobs::k_first_shard);
   cr_assert(leadership->daemon().starts_with("daemon0."), "%s", leadership->daemon().c_str());
 }
 
--- a/src/arbutusdale/fleet/leader.cpp
+++ b/src/arbutusdale/fleet/leader.cpp
@@ -15,22 +15,47 @@
 
 }  // namespace
 
-Leader::Leader(store::MetadataStore& store, sched::WorkerOrders& orders, sched::Advisor& advisor,
-               Timer& timer, const jobs::JobTable& jobs,
-               const sched::WorkerDirectoryFactory& directory, LeadershipClaim claim,
-               std::function<void()> on_lost)
-    : m_timer(timer),
+class Leader::ShardWorkers final : public sched::WorkerListener {
+ public:
+  ShardWorkers(sched::WorkerListener& listener, jobs::ShardLayout layout, jobs::ShardIndex shard)
+      : m_listener(listener), m_layout(layout), m_shard(shard) {}
+
+  void on_worker_updated(const sched::WorkerEntry& entry) override {
+    if (m_layout.shard_of_worker(entry.id) == m_shard) {
+      m_listener.on_worker_updated(entry);
+    }
+  }
+  void on_worker_gone(const std::string& id) override {
+    if (m_layout.shard_of_worker(id) == m_shard) {
+      m_listener.on_worker_gone(id);
+    }
+  }
+  void on_workers_loaded() override { m_listener.on_workers_loaded(); }
+
+ private:
+  sched::WorkerListener& m_listener;
+  const jobs::ShardLayout m_layout;
+  const jobs::ShardIndex m_shard;
+};
+
+Leader::Leader(const NodeDependencies& dependencies, const jobs::JobTable& jobs,
+               jobs::ShardIndex shard, LeadershipClaim claim, std::function<void()> on_lost)
+    : m_timer(dependencies.timer),
       m_claim(std::move(claim)),
-      m_began_at(timer.now()),
+      m_began_at(m_timer.now()),
       m_on_lost(std::move(on_lost)),
-      m_log(store, timer, jobs::leader_partition(), k_leader_producer, m_claim.fencing_token,
-            m_claim.claim_sequence + 1),
-      m_scheduler(orders, advisor, *this, timer, {m_claim.fencing_token, m_claim.term}, m_on_lost) {
+      m_log(dependencies.store, m_timer, jobs::leader_partition(shard), k_leader_producer,
+            m_claim.fencing_token, m_claim.claim_sequence + 1),
+      m_scheduler(dependencies.orders, dependencies.advisor, *this, m_timer,
+                  {m_claim.fencing_token, m_claim.term}, m_on_lost),
+      m_shard_workers(std::make_unique<ShardWorkers>(m_scheduler, jobs.layout(), shard)) {
   update_order_limits();
-  m_scheduler.take_over(jobs);
-  m_directory = directory(m_scheduler);
+  m_scheduler.take_over(jobs, shard);
+  m_directory = dependencies.directory(*m_shard_workers);
 }
 
+Leader::~Leader() = default;
+
 void Leader::write(std::vector<store::KeyedValue> entries, std::function<void(bool)> done) {
   if (m_releasing) {
     // A record after the release would make the claims of other daemons fail.
@@ -82,6 +107,18 @@
   write(std::move(entries), [](bool) {});
 }
 
+void Leader::delete_moves(const std::vector<jobs::JobId>& jobs) {
+  if (jobs.empty()) {
+    return;
+  }
+  std::vector<store::KeyedValue> entries;
+  entries.reserve(jobs.size());
+  for (const jobs::JobId& job : jobs) {
+    entries.push_back(jobs::encode_move_removal(job));
+  }
+  write(std::move(entries), [](bool) {});
+}
+
 void Leader::release(std::function<void()> done) {
   if (std::exchange(m_releasing, true)) {
     return;
--- a/src/arbutusdale/fleet/leader_election.cpp
+++ b/src/arbutusdale/fleet/leader_election.cpp
@@ -19,6 +19,9 @@
 // delay is short, since the stronger daemons may have ended together with the leader.
 constexpr Duration k_vacancy_deference = std::chrono::milliseconds{1'000};
 constexpr Duration k_timeout_deference = std::chrono::milliseconds{200};
+// Longer than the differences of the claim delays and the time of a claim, so that the shards
+// spread over the daemons.
+constexpr Duration k_deference_per_shard = std::chrono::milliseconds{400};
 // A claim needs a view of the partition that is at most this old, including the wait of reads.
 constexpr Duration k_max_staleness = std::chrono::milliseconds{1'500};
 
@@ -64,6 +67,7 @@
     possible = std::max(possible, *m_last_activity + k_election_timeout + 2 * state.read_latency);
     deference = state.stronger_known ? k_timeout_deference : Duration::zero();
   }
+  deference += static_cast<Duration::rep>(state.shards_led) * k_deference_per_shard;
   return now >= possible + m_claim_delay + deference;
 }
 
--- a/src/arbutusdale/fleet/node.cpp
+++ b/src/arbutusdale/fleet/node.cpp
@@ -1,34 +1,24 @@
-// Followers of the partitions, claims, and changes of leadership.
+// The daemon's replica of the jobs, the layout of the shards, and the removal of old jobs.
 #include "arbutusdale/fleet/node.hpp"
 
-#include "arbutusdale/core/hash.hpp"
 #include "arbutusdale/jobs/daemon_presence.hpp"
-#include "arbutusdale/observe/event_log.hpp"
-#include "arbutusdale/observe/process_metrics.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace arbutusdale::fleet {
 namespace {
 
-using observe::Event;
-using observe::EventLine;
-
 constexpr std::uint32_t k_read_wait_ms = 1'000;
-constexpr std::uint32_t k_leader_read_wait_ms = 600;
-// A delay between reads lets one read return several records. It is shorter for the leader's
-// records, through which callers see the end of a job; submissions are urgent only for the leader,
-// which reads them without a delay.
-constexpr Duration k_leader_read_delay = std::chrono::milliseconds{120};
+// A delay between reads lets one read return several records. Submissions are urgent only for the
+// leaders, which read them without a delay.
 constexpr Duration k_read_delay = std::chrono::milliseconds{300};
-constexpr std::uint64_t k_claim_sequence_count = std::uint64_t{1} << 40U;
 // Callers may ask for the state of a job for two minutes after its end, and a retry of a submission
 // may arrive seconds after the reply; the rest is margin.
 constexpr std::uint64_t k_retention_ms = 300'000;
 constexpr Duration k_deletion_interval = std::chrono::seconds{5};
 constexpr Duration k_deletion_timeout = std::chrono::seconds{2};
 constexpr std::size_t k_max_jobs_per_deletion = 100;
-constexpr Duration k_claim_timeout = std::chrono::milliseconds{1'000};
 
 }  // namespace
 
@@ -42,27 +32,16 @@
   Node& m_node;
 };
 
-class Node::LeaderRecords final : public store::PartitionListener {
- public:
-  explicit LeaderRecords(Node& node) : m_node(node) {}
-  void on_record(const store::Record& record) override { m_node.on_leader_record(record); }
-
- private:
-  Node& m_node;
-};
-
 Node::Node(NodeDependencies dependencies)
     : m_deps(std::move(dependencies)),
       m_job_records(std::make_unique<JobRecords>(*this)),
-      m_leader_records(std::make_unique<LeaderRecords>(*this)),
       m_job_followers(m_deps.store, m_deps.timer, k_read_wait_ms, k_read_delay, *m_job_records),
-      m_leader_follower(m_deps.store, m_deps.timer,
-                        {jobs::leader_partition(), k_leader_read_wait_ms, k_leader_read_delay},
-                        *m_leader_records),
       m_service(m_deps.store, m_deps.timer, m_jobs, m_job_followers, m_deps.daemon,
                 m_deps.incarnation, m_deps.cpu_share),
-      m_election(m_deps.daemon, m_deps.cpu_share),
       m_stronger(m_deps.cpu_share),
+      m_agreement(std::make_unique<ShardLayoutAgreement>(
+          m_deps.store, m_deps.timer, m_deps.directory,
+          ShardLayoutOptions{m_deps.daemon, m_deps.cpu_share, m_deps.max_shards})),
       m_alive(std::make_shared<bool>(true)) {}
 
 Node::~Node() {
@@ -71,27 +50,41 @@
 
 void Node::start() {
   m_job_followers.start();
-  m_leader_follower.start();
+  m_agreement->start();
 }
 
 bool Node::is_ready() const {
   return !m_stopping && m_configuration.is_loaded() && m_service.is_available();
 }
 
+bool Node::leads(jobs::ShardIndex shard) const {
+  return shard < m_members.size() && m_members[shard]->leader() != nullptr;
+}
+
+std::size_t Node::shards_led() const {
+  return static_cast<std::size_t>(
+      std::count_if(m_members.begin(), m_members.end(),
+                    [](const auto& member) { return member->leader() != nullptr; }));
+}
+
 NodeStats Node::stats() const {
   NodeStats stats;
   stats.jobs = m_jobs.entries().size();
+  stats.shards = static_cast<std::uint32_t>(m_members.size());
+  stats.shards_led = shards_led();
   stats.jobs_fresh_as_of = m_job_followers.fresh_as_of();
-  if (!m_leader) {
-    return stats;
-  }
-  const sched::Scheduler& scheduler = m_leader->scheduler();
-  stats.waiting_tasks = scheduler.waiting_tasks();
-  for (const auto& worker : scheduler.workers().all()) {
-    stats.registered_workers += worker->registered ? 1 : 0;
-    stats.reachable_workers +=
-        worker->registered && worker->is_reachable(m_deps.timer.now()) ? 1 : 0;
-    stats.runs += worker->runs.size();
+  for (const auto& member : m_members) {
+    if (member->leader() == nullptr) {
+      continue;
+    }
+    const sched::Scheduler& scheduler = member->leader()->scheduler();
+    stats.waiting_tasks += scheduler.waiting_tasks();
+    for (const auto& worker : scheduler.workers().all()) {
+      const bool reachable = worker->registered && worker->is_reachable(m_deps.timer.now());
+      stats.registered_workers += worker->registered ? 1 : 0;
+      stats.reachable_workers += reachable ? 1 : 0;
+      stats.runs += worker->runs.size();
+    }
   }
   return stats;
 }
@@ -113,98 +106,76 @@
   }
 }
 
-void Node::on_leader_record(const store::Record& record) {
-  m_jobs.apply_leader_record(record);
-  const TimePoint now = m_deps.timer.now();
-  const auto& leadership = m_jobs.leadership();
-  m_election.on_leader_activity(now);
-  if (!leadership) {
-    return;
-  }
-  // An earlier incarnation of this daemon has ended.
-  const bool earlier_incarnation =
-      leadership->daemon_name() == m_deps.daemon && leadership->daemon() != m_deps.incarnation;
-  if (leadership->released()) {
-    m_election.on_leadership_vacant(now);
-  } else if (earlier_incarnation) {
-    m_election.on_earlier_incarnation_led(now);
-  } else {
-    m_election.on_leadership_held();
-  }
-  if (m_leader && leadership->fencing_token() > m_leader->claim().fencing_token) {
-    m_leadership_lost = true;
+void Node::on_jobs_caught_up() {
+  for (const auto& member : m_members) {
+    member->on_jobs_caught_up(m_job_followers.fresh_as_of());
   }
-  become_leader_if_claim_stored();
 }
 
-// A claim may succeed although its reply is lost; its record is then read from the partition.
-void Node::become_leader_if_claim_stored() {
-  const auto& leadership = m_jobs.leadership();
-  const bool stored = m_pending_claim && !m_claim_in_flight && !m_leader && leadership &&
-                      leadership->fencing_token() == m_pending_claim->fencing_token &&
-                      leadership->daemon() == m_deps.incarnation;
-  if (stored) {
-    become_leader(*m_pending_claim);
+void Node::adopt_layout(jobs::ShardLayout layout) {
+  m_agreement.reset();
+  m_jobs.set_layout(layout);
+  for (jobs::ShardIndex shard = 0; shard < layout.count; ++shard) {
+    m_members.push_back(
+        std::make_unique<ShardMember>(m_deps, m_jobs, shard, [this] { on_led_changed(); }));
+    m_members.back()->start();
   }
 }
 
-void Node::on_jobs_caught_up() {
-  if (m_leader && m_job_followers.fresh_as_of() >= m_leader->began_at()) {
-    m_leader->scheduler().on_jobs_caught_up();
+void Node::on_led_changed() {
+  m_job_followers.set_read_delay(is_leader() ? Duration::zero() : k_read_delay);
+  m_job_followers.catch_up();
+}
+
+std::set<std::string> Node::leading_daemons() const {
+  std::set<std::string> names;
+  for (jobs::ShardIndex shard = 0; shard < m_members.size(); ++shard) {
+    const auto& leadership = m_jobs.leadership(shard);
+    if (leadership && !leadership->released()) {
+      names.insert(leadership->daemon_name());
+    }
   }
+  return names;
+}
+
+DaemonState Node::daemon_state() const {
+  const TimePoint now = m_deps.timer.now();
+  DaemonState state;
+  state.job_table_current = m_service.is_job_table_current();
+  state.stopping = m_stopping;
+  state.stronger_in_touch = m_stronger.are_in_touch(now);
+  state.stronger_known = m_stronger.are_known(now);
+  state.shards_led = shards_led();
+  state.claim_in_flight = std::any_of(m_members.begin(), m_members.end(), [](const auto& member) {
+    return member->has_claim_in_flight();
+  });
+  state.lagging_since = m_lag.lagging_since();
+  state.lag = m_lag.lag();
+  return state;
 }
 
 void Node::tick() {
   m_service.tick();
   m_lag.on_tick(m_deps.timer.now());
-  if (std::exchange(m_leadership_lost, false) && m_leader) {
-    step_down("another daemon leads");
-  }
-  if (std::exchange(m_handed_over, false) && m_leader) {
-    step_down("a stronger daemon takes over");
-  }
-  if (m_leader) {
-    m_leader->tick();
-    hand_over_if_overloaded();
-    if (m_deps.timer.now() >= m_next_deletion) {
-      m_next_deletion = m_deps.timer.now() + k_deletion_interval;
-      delete_expired_jobs();
+  if (m_agreement) {
+    m_agreement->tick();
+    if (const auto layout = m_agreement->layout()) {
+      adopt_layout(*layout);
     }
-    return;
-  }
-  if (!m_jobs.leadership() && m_leader_follower.is_loaded()) {
-    m_election.on_leadership_vacant(m_deps.timer.now());
   }
-  const FollowerState state{m_leader_follower.is_loaded() && m_service.is_job_table_current(),
-                            m_leader_follower.fresh_as_of(), m_leader_follower.read_latency(),
-                            m_stronger.are_in_touch(m_deps.timer.now()),
-                            m_stronger.are_known(m_deps.timer.now())};
-  const bool claim_due = m_election.should_claim(m_deps.timer.now(), state);
-  if (claim_due && !m_claim_in_flight && !m_stopping) {
-    send_claim();
+  // Gives away one shard at a time.
+  bool may_share =
+      shards_led() > 1 && m_stronger.is_peer_idle(leading_daemons(), m_deps.timer.now());
+  for (const auto& member : m_members) {
+    DaemonState state = daemon_state();
+    state.should_share_load = member->leader() != nullptr && std::exchange(may_share, false);
+    member->tick(state);
   }
-}
-
-// A leader that is too slow for the fleet would keep the leadership, since it still sends
-// heartbeats.
-void Node::hand_over_if_overloaded() {
-  const TimePoint now = m_deps.timer.now();
-  const LeaderLoad load{m_stronger.are_in_touch(now), m_lag.lagging_since(),
-                        m_leader->scheduler().can_be_taken_over_at_once()};
-  if (m_handing_over || m_stopping || !m_handover.should_hand_over(now, load)) {
-    return;
+  if (is_leader() && m_deps.timer.now() >= m_next_deletion) {
+    m_next_deletion = m_deps.timer.now() + k_deletion_interval;
+    delete_expired_jobs();
+    delete_old_moves();
   }
-  m_handing_over = true;
-  EventLine(Event::leadership_released)
-      .add("term", m_leader->claim().term)
-      .add("reason", "a stronger daemon is in touch")
-      .add_ms("lag_ms", m_lag.lag())
-      .write();
-  m_leader->release([this, alive = m_alive] {
-    if (*alive) {
-      m_handed_over = true;
-    }
-  });
 }
 
 // Keeps the store and the daemons' memory from growing with every job ever submitted.
@@ -213,7 +184,8 @@
   std::vector<jobs::JobId> expired;
   for (const auto& [id, entry] : m_jobs.entries()) {
     const std::uint64_t ended_ms = entry.progress ? entry.progress->ended_wall_ms() : 0;
-    if (ended_ms > 0 && entry.submitted && now_ms > ended_ms + k_retention_ms) {
+    if (leads(entry.shard) && ended_ms > 0 && entry.submitted &&
+        now_ms > ended_ms + k_retention_ms) {
       expired.push_back(id);
     }
     if (expired.size() == k_max_jobs_per_deletion) {
@@ -225,122 +197,49 @@
   }
   m_service.delete_jobs(expired, m_deps.timer.now() + k_deletion_timeout,
                         [this, alive = m_alive, expired](WriteOutcome outcome) {
-                          if (*alive && m_leader && outcome == WriteOutcome::stored) {
-                            m_leader->delete_progress(expired);
+                          if (*alive && outcome == WriteOutcome::stored) {
+                            delete_progress(expired);
                           }
                         });
 }
 
-// The claim is stored only if no record has been appended since this daemon last read the
-// partition, so a leader's next record or another claim makes it fail.
-void Node::send_claim() {
-  const std::uint64_t end = m_leader_follower.next_offset();
-  LeadershipClaim claim;
-  claim.daemon = m_deps.incarnation;
-  claim.daemon_name = m_deps.daemon;
-  claim.term =
-      m_jobs.leadership() ? static_cast<std::uint32_t>(m_jobs.leadership()->term()) + 1 : 1;
-  claim.fencing_token = end + 1;
-  claim.claim_sequence = stable_hash(m_deps.incarnation) % k_claim_sequence_count;
-  claim.claimed_at = m_deps.timer.now();
-  if (m_pending_claim && m_pending_claim->fencing_token == claim.fencing_token) {
-    // The store may confirm the earlier claim, from whose record the other daemons count.
-    claim.claimed_at = m_pending_claim->claimed_at;
-  }
-
-  jobs::Leadership record;
-  record.set_daemon(claim.daemon);
-  record.set_daemon_name(claim.daemon_name);
-  record.set_term(claim.term);
-  record.set_fencing_token(claim.fencing_token);
-  store::AppendRequest request;
-  request.partition = jobs::leader_partition();
-  request.entries = {jobs::encode(record)};
-  request.expected_end = end;
-  request.stamp =
-      store::ProducerStamp{k_leader_producer, claim.fencing_token, claim.claim_sequence};
-  request.timeout = k_claim_timeout;
-  m_pending_claim = claim;
-  m_claim_in_flight = true;
-  m_deps.store.append(std::move(request),
-                      [this, alive = m_alive,
-                       claim](const tl::expected<store::AppendReply, store::AppendError>& reply) {
-                        if (*alive) {
-                          m_claim_in_flight = false;
-                          on_claim_reply(claim, reply);
-                        }
-                      });
-}
-
-void Node::on_claim_reply(const LeadershipClaim& claim,
-                          const tl::expected<store::AppendReply, store::AppendError>& reply) {
-  if (reply) {
-    become_leader(claim);
-    return;
-  }
-  EventLine(Event::leadership_refused)
-      .add("term", claim.term)
-      .add("token", claim.fencing_token)
-      .add("error", reply.error().message)
-      .write();
-  m_election.on_claim_refused(m_deps.timer.now());
-  if (reply.error().reason != store::AppendFailure::unknown) {
-    m_pending_claim.reset();
-    return;
+void Node::delete_progress(const std::vector<jobs::JobId>& jobs) {
+  for (const auto& member : m_members) {
+    if (member->leader() != nullptr) {
+      member->leader()->delete_progress(jobs);
+    }
   }
-  become_leader_if_claim_stored();
 }
 
-// Takes the claim by value, since the argument may be m_pending_claim, which is reset here.
-void Node::become_leader(LeadershipClaim claim) {
-  m_pending_claim.reset();
-  if (m_stopping || m_leader) {
-    return;
+// A record of a move is of no use once the job is deleted.
+void Node::delete_old_moves() {
+  for (const auto& member : m_members) {
+    if (member->leader() == nullptr) {
+      continue;
+    }
+    std::vector<jobs::JobId> gone;
+    for (const jobs::JobId& job : m_jobs.moved_from(member->shard())) {
+      const jobs::JobEntry* entry = m_jobs.find(job);
+      if (entry == nullptr && gone.size() < k_max_jobs_per_deletion) {
+        gone.push_back(job);
+      }
+    }
+    member->leader()->delete_moves(gone);
   }
-  observe::record_timing(observe::Timing::leadership_claim, m_deps.timer.now() - claim.claimed_at);
-  EventLine(Event::leadership_claimed)
-      .add("term", claim.term)
-      .add("token", claim.fencing_token)
-      .add_ms("took_ms", m_deps.timer.now() - claim.claimed_at)
-      .add("jobs", m_jobs.entries().size())
-      .write();
-  m_election.on_leadership_held();
-  m_leader = std::make_unique<Leader>(m_deps.store, m_deps.orders, m_deps.advisor, m_deps.timer,
-                                      m_jobs, m_deps.directory, std::move(claim),
-                                      [this] { m_leadership_lost = true; });
-  m_jobs.set_listener(&m_leader->job_listener());
-  m_job_followers.set_read_delay(Duration::zero());
-  m_job_followers.catch_up();
-}
-
-void Node::step_down(const char* reason) {
-  EventLine(Event::leadership_lost)
-      .add("term", m_leader->claim().term)
-      .add("token", m_leader->claim().fencing_token)
-      .add("reason", reason)
-      .write();
-  m_jobs.set_listener(nullptr);
-  m_leader.reset();
-  m_handing_over = false;
-  m_handed_over = false;
-  m_handover.on_leadership_lost();
-  m_job_followers.set_read_delay(k_read_delay);
-  m_election.on_leader_activity(m_deps.timer.now());
 }
 
 void Node::shut_down(std::function<void()> done) {
   m_stopping = true;
-  if (!m_leader || m_handing_over) {
-    done();
-    return;
-  }
-  m_leader->release([this, alive = m_alive, done = std::move(done)] {
-    if (!*alive) {
-      return;
+  const auto pending = std::make_shared<std::size_t>(m_members.size() + 1);
+  const auto finish = [pending, done = std::move(done)] {
+    if (--*pending == 0) {
+      done();
     }
-    EventLine(Event::leadership_released).add("term", m_leader->claim().term).write();
-    done();
-  });
+  };
+  for (const auto& member : m_members) {
+    member->shut_down(finish);
+  }
+  finish();
 }
 
 }  // namespace arbutusdale::fleet
--- a/src/arbutusdale/jobs/job_table.cpp
+++ b/src/arbutusdale/jobs/job_table.cpp
@@ -17,6 +17,7 @@
 constexpr char k_submission = 'j';
 constexpr char k_cancellation = 'c';
 constexpr char k_progress = 'p';
+constexpr char k_move = 'm';
 constexpr std::string_view k_leadership_key = "leader";
 constexpr std::string_view k_roster_key = "roster";
 constexpr std::string_view k_interference_key = "interference";
@@ -53,8 +54,8 @@
   return stable_hash(daemon) % k_job_partitions;
 }
 
-store::Partition leader_partition() {
-  return {"arbutusdale.leader", 0};
+store::Partition leader_partition(ShardIndex shard) {
+  return {"arbutusdale.leader", shard};
 }
 
 store::KeyedValue encode(const JobSubmitted& record) {
@@ -69,6 +70,10 @@
   return {std::string(k_leadership_key), record.SerializeAsString()};
 }
 
+store::KeyedValue encode(const JobMoved& record) {
+  return {key_of(k_move, record.job()), record.SerializeAsString()};
+}
+
 store::KeyedValue encode(const WorkerRoster& record) {
   return {std::string(k_roster_key), record.SerializeAsString()};
 }
@@ -91,6 +96,10 @@
   return {key_of(k_progress, job.view()), ""};
 }
 
+store::KeyedValue encode_move_removal(const JobId& job) {
+  return {key_of(k_move, job.view()), ""};
+}
+
 JobState JobEntry::state() const {
   const JobState recorded = progress ? progress->state() : JobState::QUEUED;
   if (recorded == JobState::COMPLETED || recorded == JobState::FAILED) {
@@ -99,6 +108,28 @@
   return cancelled ? JobState::CANCELLED : recorded;
 }
 
+void JobTable::set_layout(ShardLayout layout) {
+  m_layout = layout;
+  m_shards.resize(layout.count);
+  for (auto& [id, entry] : m_jobs) {
+    entry.shard = layout.shard_of_job(id);
+  }
+}
+
+JobEntry& JobTable::get_or_add(const JobId& job) {
+  const auto [found, added] = m_jobs.try_emplace(job);
+  if (added) {
+    found->second.shard = m_layout.shard_of_job(job);
+  }
+  return found->second;
+}
+
+void JobTable::notify_submitted(const JobId& job, const JobEntry& entry) {
+  if (JobListener* listener = m_shards.at(entry.shard).listener; listener != nullptr) {
+    listener->on_submitted(job, entry);
+  }
+}
+
 void JobTable::apply_job_record(const store::Record& record) {
   const auto job = job_id_of(record);
   if (!job) {
@@ -117,14 +148,15 @@
   }
 }
 
-void JobTable::apply_leader_record(const store::Record& record) {
+void JobTable::apply_leader_record(ShardIndex shard, const store::Record& record) {
+  Shard& state = m_shards.at(shard);
   if (record.entry.key == k_leadership_key) {
     Leadership leadership;
     if (!leadership.ParseFromString(record.entry.value)) {
       log_undecodable(record);
       return;
     }
-    m_leadership = std::move(leadership);
+    state.leadership = std::move(leadership);
     return;
   }
   if (record.entry.key == k_roster_key) {
@@ -133,21 +165,27 @@
       log_undecodable(record);
       return;
     }
-    m_roster = std::move(roster);
+    state.roster = std::move(roster);
     return;
   }
   if (record.entry.key == k_interference_key) {
-    if (!m_interference.ParseFromString(record.entry.value)) {
+    if (!state.interference.ParseFromString(record.entry.value)) {
       log_undecodable(record);
     }
     return;
   }
   const auto job = job_id_of(record);
-  if (!job || record.entry.key.front() != k_progress) {
-    log_undecodable(record);
-    return;
+  const char kind = job ? record.entry.key.front() : '\0';
+  switch (kind) {
+    case k_progress:
+      apply_progress(*job, record);
+      return;
+    case k_move:
+      apply_move(shard, *job, record);
+      return;
+    default:
+      log_undecodable(record);
   }
-  apply_progress(*job, record);
 }
 
 void JobTable::apply_submission(const JobId& job, const store::Record& record) {
@@ -155,7 +193,7 @@
     m_jobs.erase(job);
     return;
   }
-  JobEntry& entry = m_jobs[job];
+  JobEntry& entry = get_or_add(job);
   if (entry.submitted) {
     return;  // the same job was accepted by two daemons
   }
@@ -165,21 +203,19 @@
     return;
   }
   entry.submitted = std::move(submitted);
-  if (m_listener != nullptr) {
-    m_listener->on_submitted(job, entry);
-  }
+  notify_submitted(job, entry);
 }
 
 void JobTable::apply_cancellation(const JobId& job, const store::Record& record) {
   if (record.entry.value.empty()) {
     return;  // the job is erased by the tombstone of its submission
   }
-  JobEntry& entry = m_jobs[job];
+  JobEntry& entry = get_or_add(job);
   if (std::exchange(entry.cancelled, true)) {
     return;
   }
-  if (m_listener != nullptr) {
-    m_listener->on_cancelled(job);
+  if (JobListener* listener = m_shards.at(entry.shard).listener; listener != nullptr) {
+    listener->on_cancelled(job);
   }
 }
 
@@ -196,7 +232,30 @@
     log_undecodable(record);
     return;
   }
-  m_jobs[job].progress = std::move(progress);
+  get_or_add(job).progress = std::move(progress);
+}
+
+// The records of one job's moves lie in different partitions and may be read in any order.
+void JobTable::apply_move(ShardIndex from, const JobId& job, const store::Record& record) {
+  if (record.entry.value.empty()) {
+    m_shards.at(from).moved.erase(job);
+    return;
+  }
+  JobMoved move;
+  if (!move.ParseFromString(record.entry.value) || move.to_shard() >= m_layout.count) {
+    log_undecodable(record);
+    return;
+  }
+  m_shards.at(from).moved.insert(job);
+  JobEntry& entry = get_or_add(job);
+  if (move.moves() <= entry.moves) {
+    return;
+  }
+  entry.shard = move.to_shard();
+  entry.moves = move.moves();
+  if (entry.submitted) {
+    notify_submitted(job, entry);
+  }
 }
 
 const JobEntry* JobTable::find(const JobId& job) const {
--- a/src/arbutusdale/sched/fake_progress_log_test.hpp
+++ b/src/arbutusdale/sched/fake_progress_log_test.hpp
@@ -27,11 +27,11 @@
 
   void follow(jobs::JobListener& listener) {
     m_listener = &listener;
-    jobs.set_listener(&listener);
+    jobs.set_listener(jobs::k_first_shard, &listener);
   }
   void unfollow(const jobs::JobListener& listener) {
     if (m_listener == &listener) {
-      jobs.set_listener(nullptr);
+      jobs.set_listener(jobs::k_first_shard, nullptr);
     }
   }
   void write(std::vector<store::KeyedValue> entries, std::function<void(bool)> done) override {
@@ -50,7 +50,7 @@
                            return;
                          }
                          for (const auto& entry : entries) {
-                           jobs.apply_leader_record({m_offset++, entry});
+                           jobs.apply_leader_record(jobs::k_first_shard, {m_offset++, entry});
                          }
                          done(true);
                        });
--- a/src/arbutusdale/sched/sched_fixture_test.hpp
+++ b/src/arbutusdale/sched/sched_fixture_test.hpp
@@ -83,7 +83,7 @@
     scheduler =
         std::make_unique<Scheduler>(orders == nullptr ? fleet : *orders, fleet.advisor, term_log,
                                     timer, SchedulerOptions{term, term}, [this] { fenced = true; });
-    scheduler->take_over(log.jobs);
+    scheduler->take_over(log.jobs, jobs::k_first_shard);
     for (const auto& [id, worker] : fleet.all()) {
       if (worker->registered) {
         scheduler->on_worker_updated(worker->entry);
--- a/src/arbutusdale/sched/scheduled_job_test.cpp
+++ b/src/arbutusdale/sched/scheduled_job_test.cpp
@@ -39,13 +39,13 @@
       : timer(f.timer, offset_ms), term_log(f.log, 1), base(f.timer) {
     scheduler = std::make_unique<Scheduler>(f.fleet, f.fleet.advisor, term_log, timer,
                                             SchedulerOptions{1, 1}, [] {});
-    scheduler->take_over(f.log.jobs);
+    scheduler->take_over(f.log.jobs, jobs::k_first_shard);
     for (const auto& [id, worker] : f.fleet.all()) {
       scheduler->on_worker_updated(worker->entry);
     }
     scheduler->on_workers_loaded();
     scheduler->on_jobs_caught_up();
-    f.log.jobs.set_listener(scheduler.get());
+    f.log.jobs.set_listener(jobs::k_first_shard, scheduler.get());
     tick();
   }
   void tick() {
--- a/src/arbutusdale/sched/scheduler.cpp
+++ b/src/arbutusdale/sched/scheduler.cpp
@@ -39,12 +39,12 @@
   *m_alive = false;
 }
 
-void Scheduler::take_over(const jobs::JobTable& jobs) {
+void Scheduler::take_over(const jobs::JobTable& jobs, jobs::ShardIndex shard) {
   m_has_predecessor = m_options.term > 1;
   m_jobs_caught_up = !m_has_predecessor;
-  m_interference.restore(jobs.interference(), m_timer.now());
+  m_interference.restore(jobs.interference(shard), m_timer.now());
   m_affinity.update(m_interference, m_timer.now());
-  for (const auto& listed : jobs.roster().workers()) {
+  for (const auto& listed : jobs.roster(shard).workers()) {
     Worker& worker = m_workers.get_or_add(listed.worker());
     worker.entry.id = listed.worker();
     worker.entry.address = listed.address();
@@ -55,6 +55,9 @@
     schedule_poll(worker, Duration::zero());
   }
   for (const auto& [id, entry] : jobs.entries()) {
+    if (entry.shard != shard) {
+      continue;
+    }
     add_job(id, entry, m_has_predecessor);
     if (entry.cancelled) {
       on_cancelled(id);
--- a/src/arbutusdale/sched/scheduler_test.cpp
+++ b/src/arbutusdale/sched/scheduler_test.cpp
@@ -329,11 +329,11 @@
   FleetFixture fixture(2);
   LeaderFixture first(fixture.timer, fixture.fleet, fixture.log, 1);
   fixture.timer.advance(1s);
-  cr_assert_eq(fixture.log.jobs.roster().workers_size(), 2);
+  cr_assert_eq(fixture.log.jobs.roster(jobs::k_first_shard).workers_size(), 2);
   fixture.fleet.at("w00").partitioned = true;
   first.scheduler->on_worker_gone("w00");
   fixture.timer.advance(10s);
-  cr_assert_eq(fixture.log.jobs.roster().workers_size(), 1);
+  cr_assert_eq(fixture.log.jobs.roster(jobs::k_first_shard).workers_size(), 1);
 }
 
 // Guards against a change of leader that waits for workers that have left as planned: the tasks of
@@ -353,11 +353,11 @@
   first.scheduler->on_worker_updated(leaving.entry);
   fixture.timer.advance(2s);
   cr_assert_eq(fixture.fleet.starts, 2U);
-  cr_assert_eq(fixture.log.jobs.roster().workers_size(), 1);
+  cr_assert_eq(fixture.log.jobs.roster(jobs::k_first_shard).workers_size(), 1);
   leaving.partitioned = true;
   first.scheduler->on_worker_gone(leaving.entry.id);
   fixture.timer.advance(500ms);
-  cr_assert_eq(fixture.log.jobs.roster().workers_size(), 1);
+  cr_assert_eq(fixture.log.jobs.roster(jobs::k_first_shard).workers_size(), 1);
 }
 
 // Guards against runs that stay on a worker on which nothing makes progress.
