Count workers until none is added before the layout is proposed, and test fleets with several shards

Cause: workers register over four seconds at a cold start; the first daemon counted one and proposed one shard.

--- a/include/arbutusdale/fleet/shard_layout_agreement.hpp
+++ b/include/arbutusdale/fleet/shard_layout_agreement.hpp
@@ -38,7 +38,7 @@
  private:
   void on_record(const store::Record& record) override;
   void on_scan_complete() override;
-  void on_worker_updated(const sched::WorkerEntry& entry) override { m_workers.insert(entry.id); }
+  void on_worker_updated(const sched::WorkerEntry& entry) override;
   void on_worker_gone(const std::string& id) override { m_workers.erase(id); }
   void on_workers_loaded() override;
 
@@ -59,6 +59,7 @@
   std::optional<bool> m_had_leader;
   std::unique_ptr<sched::WorkerDirectory> m_directory;  // while this daemon counts workers
   std::optional<TimePoint> m_counted_since;
+  std::optional<TimePoint> m_worker_added_at;
   std::set<std::string> m_workers;  // ids
   bool m_call_in_flight = false;
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/src/arbutusdale/fleet/cluster_test.hpp
+++ b/src/arbutusdale/fleet/cluster_test.hpp
@@ -363,9 +363,17 @@
   std::vector<std::unique_ptr<Daemon>> ended;  // processes that have been replaced
   std::vector<double> shares;                  // of a core, by daemon
 
-  /// Without `make_directory`, the directories report all workers once.
-  explicit Cluster(int count = 3, DirectoryFactory make_directory = {}, int workers = 4)
+  /// Without `make_directory`, the directories report all workers once. The number of shards is in
+  /// the store already, unless it is 0.
+  explicit Cluster(int count = 3, DirectoryFactory make_directory = {}, int workers = 4,
+                   std::uint32_t shards = 1)
       : directory(std::move(make_directory)) {
+    if (shards > 0) {
+      store.append(
+          {jobs::layout_partition(), {jobs::encode(jobs::ShardLayout{shards})}, {}, {}, {}},
+          [](const auto&) {});
+      timer.advance(std::chrono::milliseconds{20});
+    }
     if (!directory) {
       directory = [this](store::MetadataStore&, Timer& process, sched::WorkerListener& listener) {
         return std::make_unique<FakeDirectory>(process, fleet, listener);
@@ -401,6 +409,14 @@
     }
     return count;
   }
+  /// Number of daemons that believe that they lead the shard.
+  [[nodiscard]] int leaders_of(jobs::ShardIndex shard) const {
+    int count = 0;
+    for (const auto& daemon : daemons) {
+      count += daemon->node && daemon->node->leads(shard) ? 1 : 0;
+    }
+    return count;
+  }
   /// Index of the first daemon that believes that it leads; the number of daemons if none does.
   [[nodiscard]] std::size_t leader() const {
     for (std::size_t i = 0; i < daemons.size(); ++i) {
--- a/src/arbutusdale/fleet/shard_layout_agreement.cpp
+++ b/src/arbutusdale/fleet/shard_layout_agreement.cpp
@@ -25,8 +25,11 @@
 constexpr std::uint64_t k_max_jitter_ms = 60;
 constexpr double k_weak_cpu_share = 0.2;
 constexpr Duration k_weak_daemon_delay = std::chrono::milliseconds{700};
-// Workers may be starting together with the daemons.
-constexpr Duration k_max_wait_for_workers = std::chrono::milliseconds{1'500};
+// Workers that start together with the daemons register over some seconds. Jobs wait until the
+// layout is known, so the count ends when no worker has been added for a while, or at the latest
+// after the second time.
+constexpr Duration k_quiet_time = std::chrono::milliseconds{400};
+constexpr Duration k_max_wait_for_workers = std::chrono::milliseconds{3'500};
 
 Duration proposal_delay(const ShardLayoutOptions& options) {
   const double share = std::clamp(options.cpu_share, k_min_cpu_share, 1.0);
@@ -85,13 +88,13 @@
   if (!due) {
     return;
   }
+  if (!m_directory) {
+    m_directory = m_make_directory(*this);
+  }
   if (!m_had_leader) {
     find_earlier_leader();
     return;
   }
-  if (!m_directory) {
-    m_directory = m_make_directory(*this);
-  }
   if (may_propose()) {
     propose();
   }
@@ -111,6 +114,12 @@
                });
 }
 
+void ShardLayoutAgreement::on_worker_updated(const sched::WorkerEntry& entry) {
+  if (m_workers.insert(entry.id).second) {
+    m_worker_added_at = m_timer.now();
+  }
+}
+
 void ShardLayoutAgreement::on_workers_loaded() {
   m_counted_since = m_counted_since.value_or(m_timer.now());
 }
@@ -119,8 +128,9 @@
   if (!m_counted_since) {
     return false;
   }
-  return *m_had_leader || !m_workers.empty() ||
-         m_timer.now() >= *m_counted_since + k_max_wait_for_workers;
+  const TimePoint now = m_timer.now();
+  const bool is_complete = m_worker_added_at && now >= *m_worker_added_at + k_quiet_time;
+  return *m_had_leader || is_complete || now >= *m_counted_since + k_max_wait_for_workers;
 }
 
 void ShardLayoutAgreement::propose() {
