Move jobs from a full shard to one with room

Change: leaders state their free processors in heartbeats; a job of which nothing was started is handed to a roomier shard by a record in the partition of the shard that gives it away. A scheduled job is not moved.

--- a/include/arbutusdale/fleet/leader.hpp
+++ b/include/arbutusdale/fleet/leader.hpp
@@ -4,6 +4,7 @@
 
 #include "arbutusdale/core/timer.hpp"
 #include "arbutusdale/fleet/node_dependencies.hpp"
+#include "arbutusdale/fleet/shard_rooms.hpp"
 #include "arbutusdale/jobs/job_table.hpp"
 #include "arbutusdale/sched/scheduler.hpp"
 #include "arbutusdale/sched/worker_directory.hpp"
@@ -69,6 +70,7 @@
   LeadershipClaim m_claim;
   TimePoint m_began_at;
   std::function<void()> m_on_lost;
+  ShardRooms m_rooms;
   store::GroupCommit m_log;
   sched::Scheduler m_scheduler;
   /// Passes the registrations of the shard's workers on to the scheduler.
--- a/include/arbutusdale/fleet/shard_member.hpp
+++ b/include/arbutusdale/fleet/shard_member.hpp
@@ -42,6 +42,8 @@
   void start() { m_follower.start(); }
   /// Call every 100 ms.
   void tick(const DaemonState& daemon);
+  /// Whether this daemon leads some shard: a leader has to know soon of jobs that it is handed.
+  void follow_closely(bool closely);
   /// All jobs accepted before `fresh_as_of` are in the job table.
   void on_jobs_caught_up(std::optional<TimePoint> fresh_as_of);
   /// Releases the leadership if it is held. Calls `done` after that, or at once when there is
--- a/include/arbutusdale/observe/event_log.hpp
+++ b/include/arbutusdale/observe/event_log.hpp
@@ -21,6 +21,7 @@
   dependency_lost,
   dependency_regained,
   configuration_applied,
+  job_moved,
   shard_layout_known,
   shard_layout_proposed,
   leadership_claimed,
--- a/include/arbutusdale/sched/ready_queue.hpp
+++ b/include/arbutusdale/sched/ready_queue.hpp
@@ -64,11 +64,11 @@
     }
   }
 
-  /// Calls `visit` for each step that has waiting tasks, in order.
+  /// Calls `visit` for each step that has waiting tasks, in order, with their number.
   template <typename Visitor>
   void for_each_step(Visitor visit) const {
     for (const auto& [key, step] : m_order) {
-      visit(*step);
+      visit(*step, m_steps.at(step).tasks.size());
     }
   }
 
--- a/include/arbutusdale/sched/scheduler.hpp
+++ b/include/arbutusdale/sched/scheduler.hpp
@@ -10,6 +10,7 @@
 #include "arbutusdale/jobs/job_table.hpp"
 #include "arbutusdale/sched/advisor.hpp"
 #include "arbutusdale/sched/interference.hpp"
+#include "arbutusdale/sched/job_mover.hpp"
 #include "arbutusdale/sched/placement.hpp"
 #include "arbutusdale/sched/placement_round.hpp"
 #include "arbutusdale/sched/ready_queue.hpp"
@@ -65,6 +66,9 @@
             SchedulerOptions options, std::function<void()> on_fenced);
   ~Scheduler() override;
 
+  /// Lets jobs be moved to other shards; without a mover none is.
+  void set_job_mover(JobMover* mover) { m_mover = mover; }
+
   /// Takes over the jobs of the shard that are known so far, with the roster and interference
   /// evidence. Their tasks start only after every known worker has answered, or after all leases
   /// that an earlier leader may have granted have expired.
@@ -89,6 +93,8 @@
   void tick();
 
   [[nodiscard]] std::size_t waiting_tasks() const { return m_ready.size(); }
+  /// Room of the workers that are registered and ready.
+  [[nodiscard]] ShardRoom room() const;
   /// Number of times that placement has examined a worker, as a measure of its cost.
   [[nodiscard]] std::uint64_t workers_examined() const { return m_workers_examined; }
   [[nodiscard]] const WorkerTable& workers() const { return m_workers; }
@@ -159,6 +165,14 @@
   [[nodiscard]] std::optional<store::KeyedValue> roster_entry();
   [[nodiscard]] bool may_have_runs(const Worker& worker) const;
 
+  // Moves of jobs to other shards, scheduler_moves.cpp.
+  [[nodiscard]] static bool lacks_room_for(const Job& job, const ShardRoom& room);
+  /// Returns true when the job belongs to another shard from now on.
+  bool move_to_roomier_shard(Job& job);
+  void store_move(const jobs::JobMoved& record);
+  void move_waiting_jobs();
+  std::vector<Task*> remove_from_queue(Job& job);
+
   // Placement, scheduler_placement.cpp.
   void place_when_due();
   void place();
@@ -260,6 +274,7 @@
   std::function<void()> m_on_fenced;
   std::shared_ptr<bool> m_alive;  // false after destruction; callbacks check it
 
+  JobMover* m_mover = nullptr;
   TaskTable m_tasks;
   WorkerTable m_workers;
   ReadyQueue m_ready;
--- a/include/arbutusdale/sched/task_table.hpp
+++ b/include/arbutusdale/sched/task_table.hpp
@@ -140,6 +140,8 @@
   bool ending = false;      // completed, failed or cancelled: nothing starts any more
   bool end_stored = false;  // the record of its end is stored
   bool taken_over = false;  // an earlier leader may have started tasks of it
+  bool ordered = false;     // this leader has decided to start a task of it
+  std::uint32_t moves = 0;  // between shards
   std::uint32_t next_occurrence = 0;
   std::uint32_t occurrences_done = 0;
   TimePoint due{};       // when its objective ends
--- a/src/arbutusdale/fleet/leader.cpp
+++ b/src/arbutusdale/fleet/leader.cpp
@@ -44,6 +44,7 @@
       m_claim(std::move(claim)),
       m_began_at(m_timer.now()),
       m_on_lost(std::move(on_lost)),
+      m_rooms(jobs, shard),
       m_log(dependencies.store, m_timer, jobs::leader_partition(shard), k_leader_producer,
             m_claim.fencing_token, m_claim.claim_sequence + 1),
       m_scheduler(dependencies.orders, dependencies.advisor, *this, m_timer,
@@ -51,6 +52,7 @@
       m_shard_workers(std::make_unique<ShardWorkers>(m_scheduler, jobs.layout(), shard)) {
   update_order_limits();
   m_scheduler.take_over(jobs, shard);
+  m_scheduler.set_job_mover(&m_rooms);
   m_directory = dependencies.directory(*m_shard_workers);
 }
 
@@ -135,6 +137,8 @@
   record.set_term(m_claim.term);
   record.set_fencing_token(m_claim.fencing_token);
   record.set_released(released);
+  const std::int64_t free_millis = m_scheduler.room().free_millis;
+  record.set_free_cpu_millis(static_cast<std::uint64_t>(std::max<std::int64_t>(free_millis, 0)));
   return record;
 }
 
--- a/src/arbutusdale/fleet/node.cpp
+++ b/src/arbutusdale/fleet/node.cpp
@@ -125,6 +125,9 @@
 void Node::on_led_changed() {
   m_job_followers.set_read_delay(is_leader() ? Duration::zero() : k_read_delay);
   m_job_followers.catch_up();
+  for (const auto& member : m_members) {
+    member->follow_closely(is_leader());
+  }
 }
 
 std::set<std::string> Node::leading_daemons() const {
--- a/src/arbutusdale/fleet/shard_member.cpp
+++ b/src/arbutusdale/fleet/shard_member.cpp
@@ -83,6 +83,10 @@
   }
 }
 
+void ShardMember::follow_closely(bool closely) {
+  m_follower.set_read_delay(closely ? k_read_delay : read_delay(m_jobs.layout()));
+}
+
 void ShardMember::on_jobs_caught_up(std::optional<TimePoint> fresh_as_of) {
   if (m_leader && fresh_as_of >= m_leader->began_at()) {
     m_leader->scheduler().on_jobs_caught_up();
@@ -221,7 +225,6 @@
   m_leader = std::make_unique<Leader>(m_deps, m_jobs, m_shard, std::move(claim),
                                       [this] { m_leadership_lost = true; });
   m_jobs.set_listener(m_shard, &m_leader->job_listener());
-  m_follower.set_read_delay(k_read_delay);
   m_on_led_changed();
 }
 
@@ -237,7 +240,6 @@
   m_handing_over = false;
   m_handed_over = false;
   m_handover.on_leadership_lost();
-  m_follower.set_read_delay(read_delay(m_jobs.layout()));
   m_election.on_leader_activity(m_deps.timer.now());
   m_on_led_changed();
 }
--- a/src/arbutusdale/observe/event_log.cpp
+++ b/src/arbutusdale/observe/event_log.cpp
@@ -16,7 +16,7 @@
 namespace arbutusdale::observe {
 namespace {
 
-constexpr EnumNames<Event, 41> k_event_names{{
+constexpr EnumNames<Event, 42> k_event_names{{
     {Event::process_started, "process_started"},
     {Event::process_stopping, "process_stopping"},
     {Event::process_stopped, "process_stopped"},
@@ -24,6 +24,7 @@
     {Event::dependency_lost, "dependency_lost"},
     {Event::dependency_regained, "dependency_regained"},
     {Event::configuration_applied, "configuration_applied"},
+    {Event::job_moved, "job_moved"},
     {Event::shard_layout_known, "shard_layout_known"},
     {Event::shard_layout_proposed, "shard_layout_proposed"},
     {Event::leadership_claimed, "leadership_claimed"},
--- a/src/arbutusdale/sched/scheduler.cpp
+++ b/src/arbutusdale/sched/scheduler.cpp
@@ -84,7 +84,11 @@
     return;
   }
   job->taken_over = taken_over;
+  job->moves = entry.moves;
   take_over_recorded_runs(*job);
+  if (!entry.progress && !entry.cancelled && move_to_roomier_shard(*job)) {
+    return;
+  }
   EventLine(Event::job_owned)
       .add("job", id.view())
       .add("queue", job->terms().queue())
@@ -359,6 +363,7 @@
     m_affinity.update(m_interference, m_timer.now());
   }
   m_ready.refresh(m_timer.now());
+  move_waiting_jobs();
   update_scarcity();
   update_typical_speed();
   m_place_due = true;
--- a/src/arbutusdale/sched/scheduler_orders.cpp
+++ b/src/arbutusdale/sched/scheduler_orders.cpp
@@ -39,6 +39,7 @@
   m_ready.remove(task);
   Step& step = *task.step;
   Job& job = *step.job;
+  job.ordered = true;
   const TimePoint now = m_timer.now();
   if (step.spec->same_rack() && step.chosen_rack.empty()) {
     step.chosen_rack = worker.entry.rack;
--- a/src/arbutusdale/sched/scheduler_placement.cpp
+++ b/src/arbutusdale/sched/scheduler_placement.cpp
@@ -145,7 +145,7 @@
   m_fleet_is_idle =
       static_cast<double>(committed) < static_cast<double>(capacity) * k_idle_fleet_share;
   std::set<ImageId> waiting;
-  m_ready.for_each_step([&waiting](const Step& step) {
+  m_ready.for_each_step([&waiting](const Step& step, std::size_t) {
     if (step.spec->opportunistic()) {
       waiting.insert(step.image);
     }
