Let strong daemons propose the shard layout

Change: the quiet time and the longest wait grow as the share of a core shrinks. fleet_test 54 of 54.

--- a/src/arbutusdale/fleet/shard_layout_agreement.cpp
+++ b/src/arbutusdale/fleet/shard_layout_agreement.cpp
@@ -18,25 +18,25 @@
 
 constexpr std::uint32_t k_read_wait_ms = 1'000;
 constexpr Duration k_proposal_timeout = std::chrono::milliseconds{1'000};
-// Strong daemons propose first, so that the layout suits the daemons that will lead, and the others
-// read it without a scan of the workers.
+// Strong daemons propose first, so that the layout suits the daemons that will lead.
 constexpr double k_one_core_delay_ms = 15;
 constexpr double k_min_cpu_share = 0.05;
 constexpr std::uint64_t k_max_jitter_ms = 60;
-constexpr double k_weak_cpu_share = 0.2;
-constexpr Duration k_weak_daemon_delay = std::chrono::milliseconds{700};
 // Workers that start together with the daemons register over some seconds. Jobs wait until the
 // layout is known, so the count ends when no worker has been added for a while, or at the latest
-// after the second time.
-constexpr Duration k_quiet_time = std::chrono::milliseconds{400};
-constexpr Duration k_max_wait_for_workers = std::chrono::milliseconds{3'500};
+// after a longer time. Weak daemons read the registrations late, and wait longer.
+constexpr double k_one_core_quiet_ms = 200;
+constexpr double k_one_core_extra_wait_ms = 50;
+constexpr Duration k_max_wait_for_workers = std::chrono::milliseconds{3'200};
+
+Duration scaled(double one_core_ms, double cpu_share) {
+  const double share = std::clamp(cpu_share, k_min_cpu_share, 1.0);
+  return std::chrono::milliseconds{static_cast<std::int64_t>(one_core_ms / share)};
+}
 
 Duration proposal_delay(const ShardLayoutOptions& options) {
-  const double share = std::clamp(options.cpu_share, k_min_cpu_share, 1.0);
-  const auto by_share = static_cast<std::uint64_t>(k_one_core_delay_ms / share);
-  const Duration delay =
-      std::chrono::milliseconds{by_share + stable_hash(options.daemon) % k_max_jitter_ms};
-  return share < k_weak_cpu_share ? delay + k_weak_daemon_delay : delay;
+  return scaled(k_one_core_delay_ms, options.cpu_share) +
+         std::chrono::milliseconds{stable_hash(options.daemon) % k_max_jitter_ms};
 }
 
 }  // namespace
@@ -129,8 +129,11 @@
     return false;
   }
   const TimePoint now = m_timer.now();
-  const bool is_complete = m_worker_added_at && now >= *m_worker_added_at + k_quiet_time;
-  return *m_had_leader || is_complete || now >= *m_counted_since + k_max_wait_for_workers;
+  const Duration quiet_time = scaled(k_one_core_quiet_ms, m_options.cpu_share);
+  const Duration max_wait =
+      k_max_wait_for_workers + scaled(k_one_core_extra_wait_ms, m_options.cpu_share);
+  const bool is_complete = m_worker_added_at && now >= *m_worker_added_at + quiet_time;
+  return *m_had_leader || is_complete || now >= *m_counted_since + max_wait;
 }
 
 void ShardLayoutAgreement::propose() {
