Store progress less often on fleets with shards, and start nothing with an old view of the jobs

Change: progress that nobody waits for is written at most every 90 ms; starts need a view of submissions and cancellations that is at most 3 s old; the layout waits for 1.2 s without a new worker, at most about 4 s.

--- a/include/arbutusdale/fleet/leader.hpp
+++ b/include/arbutusdale/fleet/leader.hpp
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace arbutusdale::fleet {
@@ -47,8 +48,8 @@
   [[nodiscard]] sched::Scheduler& scheduler() { return m_scheduler; }
   [[nodiscard]] const sched::Scheduler& scheduler() const { return m_scheduler; }
 
-  /// Call every 100 ms.
-  void tick();
+  /// Call every 100 ms. Every submission and cancellation before `jobs_fresh_as_of` is known.
+  void tick(std::optional<TimePoint> jobs_fresh_as_of);
 
   /// Deletes the progress of jobs whose submissions have been deleted.
   void delete_progress(const std::vector<jobs::JobId>& jobs);
@@ -63,7 +64,7 @@
   void write(std::vector<store::KeyedValue> entries, std::function<void(bool)> done) override;
 
   void send_heartbeat();
-  void update_order_limits();
+  void update_order_limits(std::optional<TimePoint> jobs_fresh_as_of);
   [[nodiscard]] jobs::Leadership make_record(bool released) const;
 
   Timer& m_timer;
--- a/include/arbutusdale/fleet/shard_member.hpp
+++ b/include/arbutusdale/fleet/shard_member.hpp
@@ -20,7 +20,7 @@
 /// What the daemon knows beside the shard's own records.
 struct DaemonState {
   bool job_table_current = false;
-  bool stopping = false;
+  std::optional<TimePoint> jobs_fresh_as_of;
   /// See FollowerState.
   bool stronger_in_touch = false;
   bool stronger_known = false;
--- a/include/arbutusdale/sched/scheduler.hpp
+++ b/include/arbutusdale/sched/scheduler.hpp
@@ -50,6 +50,10 @@
 struct SchedulerOptions {
   std::uint64_t fencing_token = 0;
   std::uint32_t term = 1;  // number of this leadership; runs of a later term have higher numbers
+  /// Least time between two writes of progress, but for the ends of jobs and what starts wait for.
+  /// Every daemon reads what is written; with more time between writes a record stands for more
+  /// ended tasks of its job.
+  Duration write_interval{};
 };
 
 /// Times after which the leader must not send orders, because another daemon may lead by then.
@@ -159,6 +163,7 @@
   /// The job's starts are stored with the next write, or a little later.
   void mark_started(Job& job);
   void flush();
+  [[nodiscard]] bool may_write_progress() const;
   [[nodiscard]] std::vector<ProcessedEnds> unstored_ends();
   void on_flushed(bool stored, const std::vector<jobs::JobId>& written,
                   const std::vector<ProcessedEnds>& processed);
@@ -284,7 +289,9 @@
   TicketCache m_tickets;
   std::set<jobs::JobId> m_dirty;    // jobs with progress to be stored
   std::set<jobs::JobId> m_started;  // jobs with starts to be stored
-  TimePoint m_store_starts_at{};    // at the latest, while there are such jobs
+  TimePoint m_written_at{};         // last write
+  bool m_has_urgent_progress = false;
+  TimePoint m_store_starts_at{};  // at the latest, while there are such jobs
   std::vector<PendingStart> m_pending_starts;
   /// Includes every worker with ended runs whose effects are not stored.
   std::set<WorkerSlot> m_unstored_workers;
--- a/src/arbutusdale/fleet/leader.cpp
+++ b/src/arbutusdale/fleet/leader.cpp
@@ -12,6 +12,14 @@
 // Long enough that progress is retried until it is stored or the leadership is lost.
 constexpr Duration k_progress_timeout = std::chrono::hours{1};
 constexpr Duration k_release_timeout = std::chrono::seconds{1};
+// A leader whose reads of submissions and cancellations fail might start tasks of cancelled jobs.
+constexpr Duration k_max_job_age_for_starts = std::chrono::milliseconds{3'000};
+// On a fleet with several shards the daemons' reads of progress would exceed what the store serves.
+constexpr Duration k_write_interval = std::chrono::milliseconds{90};
+
+Duration write_interval(const jobs::ShardLayout& layout) {
+  return layout.count > 1 ? k_write_interval : Duration::zero();
+}
 
 }  // namespace
 
@@ -48,9 +56,9 @@
       m_log(dependencies.store, m_timer, jobs::leader_partition(shard), k_leader_producer,
             m_claim.fencing_token, m_claim.claim_sequence + 1),
       m_scheduler(dependencies.orders, dependencies.advisor, *this, m_timer,
-                  {m_claim.fencing_token, m_claim.term}, m_on_lost),
+                  {m_claim.fencing_token, m_claim.term, write_interval(jobs.layout())}, m_on_lost),
       m_shard_workers(std::make_unique<ShardWorkers>(m_scheduler, jobs.layout(), shard)) {
-  update_order_limits();
+  update_order_limits(m_began_at);
   m_scheduler.take_over(jobs, shard);
   m_scheduler.set_job_mover(&m_rooms);
   m_directory = dependencies.directory(*m_shard_workers);
@@ -75,20 +83,23 @@
               });
 }
 
-void Leader::tick() {
+void Leader::tick(std::optional<TimePoint> jobs_fresh_as_of) {
   if (m_releasing) {
     return;
   }
-  update_order_limits();
+  update_order_limits(jobs_fresh_as_of);
   send_heartbeat();
   m_scheduler.tick();
 }
 
-void Leader::update_order_limits() {
+void Leader::update_order_limits(std::optional<TimePoint> jobs_fresh_as_of) {
   const TimePoint last =
       std::max(m_claim.claimed_at, m_log.last_success_sent().value_or(TimePoint{}));
+  const TimePoint jobs_known_until =
+      jobs_fresh_as_of.value_or(TimePoint{}) + k_max_job_age_for_starts;
   m_scheduler.set_order_limits(
-      {last + k_max_confirmation_age_for_starts, last + k_max_confirmation_age_for_leases});
+      {std::min(last + k_max_confirmation_age_for_starts, jobs_known_until),
+       last + k_max_confirmation_age_for_leases});
 }
 
 void Leader::send_heartbeat() {
--- a/src/arbutusdale/fleet/node.cpp
+++ b/src/arbutusdale/fleet/node.cpp
@@ -145,7 +145,7 @@
   const TimePoint now = m_deps.timer.now();
   DaemonState state;
   state.job_table_current = m_service.is_job_table_current();
-  state.stopping = m_stopping;
+  state.jobs_fresh_as_of = m_job_followers.fresh_as_of();
   state.stronger_in_touch = m_stronger.are_in_touch(now);
   state.stronger_known = m_stronger.are_known(now);
   state.shards_led = shards_led();
--- a/src/arbutusdale/fleet/shard_layout_agreement.cpp
+++ b/src/arbutusdale/fleet/shard_layout_agreement.cpp
@@ -25,9 +25,9 @@
 // Workers that start together with the daemons register over some seconds. Jobs wait until the
 // layout is known, so the count ends when no worker has been added for a while, or at the latest
 // after a longer time. Weak daemons read the registrations late, and wait longer.
-constexpr double k_one_core_quiet_ms = 200;
+constexpr Duration k_quiet_time = std::chrono::milliseconds{1'200};
 constexpr double k_one_core_extra_wait_ms = 50;
-constexpr Duration k_max_wait_for_workers = std::chrono::milliseconds{3'200};
+constexpr Duration k_max_wait_for_workers = std::chrono::milliseconds{3'800};
 
 Duration scaled(double one_core_ms, double cpu_share) {
   const double share = std::clamp(cpu_share, k_min_cpu_share, 1.0);
@@ -129,10 +129,9 @@
     return false;
   }
   const TimePoint now = m_timer.now();
-  const Duration quiet_time = scaled(k_one_core_quiet_ms, m_options.cpu_share);
   const Duration max_wait =
       k_max_wait_for_workers + scaled(k_one_core_extra_wait_ms, m_options.cpu_share);
-  const bool is_complete = m_worker_added_at && now >= *m_worker_added_at + quiet_time;
+  const bool is_complete = m_worker_added_at && now >= *m_worker_added_at + k_quiet_time;
   return *m_had_leader || is_complete || now >= *m_counted_since + max_wait;
 }
 
--- a/src/arbutusdale/fleet/shard_member.cpp
+++ b/src/arbutusdale/fleet/shard_member.cpp
@@ -101,7 +101,7 @@
     step_down("another daemon takes over");
   }
   if (m_leader) {
-    m_leader->tick();
+    m_leader->tick(daemon.jobs_fresh_as_of);
     hand_over_if_overloaded(daemon);
     return;
   }
--- a/src/arbutusdale/fleet/shard_test.cpp
+++ b/src/arbutusdale/fleet/shard_test.cpp
@@ -303,3 +303,29 @@
     cr_expect_eq(cluster.fleet.running(), 0U, "cancelled after %d ms", after_ms);
   }
 }
+
+// Guards against a leader that starts tasks of a job seconds after its cancellation was
+// acknowledged: its reads of submissions and cancellations fail while its appends succeed.
+Test(shards, a_leader_that_cannot_read_cancellations_starts_nothing) {
+  ShardedCluster cluster;
+  cluster.fleet.work_of = [](const jobs::TaskId&) { return 8s; };
+  const std::uint32_t number = jobs_of(0, 1).front();
+  sched::JobBuilder job(number);
+  job.record.set_accepted_wall_ms(cluster.timer.wall_ms());
+  job.step(1, 1'000);
+  job.step(1, 1'000).add_after(0);
+  const std::size_t leader = cluster.leader_of(0);
+  const std::size_t other = (leader + 1) % cluster.daemons.size();
+  JobService& service = cluster.daemons[other]->node->service();
+  service.submit(sched::job_id(number), job.record, cluster.timer.now() + 2s, [](auto) {});
+  cluster.timer.advance(1s);
+  cr_assert_eq(cluster.fleet.starts, 1U);
+  cluster.daemons[leader]->store.read_fault = PathFault::silent;
+  bool acknowledged = false;
+  service.cancel(
+      sched::job_id(number), cluster.timer.now() + 2s,
+      [&acknowledged](WriteOutcome outcome) { acknowledged = outcome == WriteOutcome::stored; });
+  cluster.timer.advance(12s);
+  cr_assert(acknowledged);
+  cr_assert_eq(cluster.fleet.starts, 1U);
+}
--- a/src/arbutusdale/sched/scheduler.cpp
+++ b/src/arbutusdale/sched/scheduler.cpp
@@ -170,6 +170,7 @@
   }
   job.ending = true;
   job.state = state;
+  m_has_urgent_progress = true;
   EventLine(Event::job_ended)
       .add("job", job.id.view())
       .add("state", proto::jobs::JobState_Name(state))
--- a/src/arbutusdale/sched/scheduler_storage.cpp
+++ b/src/arbutusdale/sched/scheduler_storage.cpp
@@ -23,10 +23,19 @@
   m_started.insert(job.id);
 }
 
+// What is not urgent waits for the next tick, or for a write that is.
+bool Scheduler::may_write_progress() const {
+  return m_has_urgent_progress || m_roster_check_due || !m_pending_starts.empty() ||
+         m_timer.now() - m_written_at >= m_options.write_interval;
+}
+
 void Scheduler::flush() {
   if (m_flushing) {
     return;
   }
+  if (!may_write_progress()) {
+    return;
+  }
   if (!m_dirty.empty() || m_timer.now() >= m_store_starts_at) {
     m_dirty.merge(m_started);
     m_started.clear();
@@ -61,6 +70,8 @@
     written.push_back(id);
   }
   m_flushing = true;
+  m_written_at = m_timer.now();
+  m_has_urgent_progress = false;
   m_log.write(std::move(entries), [this, alive = m_alive, written = std::move(written), processed,
                                    starts = std::exchange(m_pending_starts, {}),
                                    roster_additions = std::move(roster_additions)](bool stored) {
