--- a/src/arbutusdale/fleet/node.cpp
+++ b/src/arbutusdale/fleet/node.cpp
@@ -1,6 +1,7 @@
 // The daemon's replica of the jobs, the layout of the shards, and the removal of old jobs.
 #include "arbutusdale/fleet/node.hpp"
 
+#include "arbutusdale/core/hash.hpp"
 #include "arbutusdale/jobs/daemon_presence.hpp"
 
 #include <algorithm>
@@ -169,10 +170,14 @@
   // Gives away one shard at a time.
   bool may_share =
       shards_led() > 1 && m_stronger.is_peer_idle(leading_daemons(), m_deps.timer.now());
-  for (const auto& member : m_members) {
+  // A daemon has one claim in flight, so daemons that began with the same shard would leave the
+  // others to slower ones.
+  const std::size_t first = m_members.empty() ? 0 : stable_hash(m_deps.daemon) % m_members.size();
+  for (std::size_t i = 0; i < m_members.size(); ++i) {
+    ShardMember& member = *m_members[(first + i) % m_members.size()];
     DaemonState state = daemon_state();
-    state.should_share_load = member->leader() != nullptr && std::exchange(may_share, false);
-    member->tick(state);
+    state.should_share_load = member.leader() != nullptr && std::exchange(may_share, false);
+    member.tick(state);
   }
   if (is_leader() && m_deps.timer.now() >= m_next_deletion) {
     m_next_deletion = m_deps.timer.now() + k_deletion_interval;
--- a/src/arbutusdale/fleet/shard_test.cpp
+++ b/src/arbutusdale/fleet/shard_test.cpp
@@ -329,3 +329,21 @@
   cr_assert(acknowledged);
   cr_assert_eq(cluster.fleet.starts, 1U);
 }
+
+// Guards against shards that go to weak daemons when all claim at the same time, since the strong
+// ones all begin with the same shard.
+Test(shards, go_to_strong_daemons_at_a_cold_start) {
+  Cluster cluster(0, {}, k_workers, 8);
+  for (int i = 0; i < 45; ++i) {
+    cluster.add(i < 15 ? 0.5 : 0.12);
+    cluster.timer.advance(7ms);
+  }
+  cluster.timer.advance(3s);
+  for (std::size_t i = 0; i < cluster.daemons.size(); ++i) {
+    const std::size_t led = cluster.daemons[i]->node->shards_led();
+    cr_expect(i < 15 || led == 0, "the weak daemon %zu leads %zu", i, led);
+  }
+  for (jobs::ShardIndex shard = 0; shard < 8; ++shard) {
+    cr_expect_eq(cluster.leaders_of(shard), 1);
+  }
+}
