--- a/src/arbutusdale/net/late_reply_test.cpp
+++ b/src/arbutusdale/net/late_reply_test.cpp
@@ -25,9 +25,18 @@
 
 namespace {
 
-/// Address that no other test process uses; each test runs in a process of its own.
-std::string local_address() {
-  return "127.0.0.1:" + std::to_string(10'000 + ::getpid() % 20'000);
+/// Free loopback address. Ports computed from the process id may be in use by another program.
+std::string free_address() {
+  const int probe = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  auto* generic = reinterpret_cast<sockaddr*>(&address);
+  socklen_t size = sizeof(address);
+  cr_assert_eq(::bind(probe, generic, size), 0);
+  ::getsockname(probe, generic, &size);
+  ::close(probe);
+  return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
 }
 
 /// Server on a thread of its own. It replies at once, except to requests for /never.
@@ -153,8 +162,9 @@
 // reported as missing because the loop gets to them after the time limit.
 Test(late_reply, replies_that_have_arrived_are_read_before_a_time_limit_takes_effect) {
   constexpr std::size_t k_calls = 300;
-  const Server server(local_address());
-  Caller caller(local_address());
+  const std::string address = free_address();
+  const Server server(address);
+  Caller caller(address);
   for (std::size_t i = 0; i < k_calls; ++i) {
     caller.call("/", 200ms);
   }
@@ -167,8 +177,9 @@
 // Guards against a time limit that counts from the start of a long iteration of the loop instead of
 // from the call.
 Test(late_reply, the_time_before_the_request_is_sent_does_not_count) {
-  const Server server(local_address());
-  Caller caller(local_address());
+  const std::string address = free_address();
+  const Server server(address);
+  Caller caller(address);
   std::size_t early_results = 0;
   caller.loop->call_after(1ms, [&caller, &early_results] {
     std::this_thread::sleep_for(400ms);
@@ -187,8 +198,9 @@
 // Guards against a request that leaves the process long after the decision to send it, when another
 // daemon may have taken over.
 Test(late_reply, a_request_is_not_sent_later_than_a_second_after_the_call) {
-  Server server(local_address());
-  Caller caller(local_address());
+  const std::string address = free_address();
+  Server server(address);
+  Caller caller(address);
   caller.call("/", 5s);
   // Delays the event that reports the connection as established.
   caller.loop->call_after(Duration{1}, [] { std::this_thread::sleep_for(1'200ms); });
