--- a/include/arbutusdale/sched/scheduler.hpp
+++ b/include/arbutusdale/sched/scheduler.hpp
@@ -54,6 +54,8 @@
   /// Every daemon reads what is written; with more time between writes a record stands for more
   /// ended tasks of its job.
   Duration write_interval{};
+  /// Least time between two records of interference evidence, if longer than the usual one.
+  Duration evidence_interval{};
 };
 
 /// Times after which the leader must not send orders, because another daemon may lead by then.
--- a/src/arbutusdale/fleet/leader.cpp
+++ b/src/arbutusdale/fleet/leader.cpp
@@ -17,6 +17,12 @@
 // On a fleet with several shards the daemons' reads of progress would exceed what the store serves.
 constexpr Duration k_write_interval = std::chrono::milliseconds{90};
 
+constexpr Duration k_evidence_interval_per_shard = std::chrono::milliseconds{1'500};
+
+Duration evidence_interval(const jobs::ShardLayout& layout) {
+  return layout.count * k_evidence_interval_per_shard;
+}
+
 Duration write_interval(const jobs::ShardLayout& layout) {
   return layout.count > 1 ? k_write_interval : Duration::zero();
 }
@@ -56,7 +62,9 @@
       m_log(dependencies.store, m_timer, jobs::leader_partition(shard), k_leader_producer,
             m_claim.fencing_token, m_claim.claim_sequence + 1),
       m_scheduler(dependencies.orders, dependencies.advisor, *this, m_timer,
-                  {m_claim.fencing_token, m_claim.term, write_interval(jobs.layout())}, m_on_lost),
+                  {m_claim.fencing_token, m_claim.term, write_interval(jobs.layout()),
+                   evidence_interval(jobs.layout())},
+                  m_on_lost),
       m_shard_workers(std::make_unique<ShardWorkers>(m_scheduler, jobs.layout(), shard)) {
   update_order_limits(m_began_at);
   m_scheduler.take_over(jobs, shard);
--- a/src/arbutusdale/sched/scheduler.cpp
+++ b/src/arbutusdale/sched/scheduler.cpp
@@ -358,7 +358,8 @@
       open_due_occurrences(*job);
     }
   }
-  if (m_timer.now() - m_evidence_saved_at >= k_evidence_interval) {
+  const Duration evidence_interval = std::max(k_evidence_interval, m_options.evidence_interval);
+  if (m_timer.now() - m_evidence_saved_at >= evidence_interval) {
     m_evidence_saved_at = m_timer.now();
     m_evidence_due = true;
     m_affinity.update(m_interference, m_timer.now());
