Check the roster apart from the interval between writes of progress

Cause: the roster check of each tick made every write due, so progress was written every 100 ms whatever the interval said. Change: a roster that differs is written at once, other progress every 240 ms on fleets with shards.

--- a/src/arbutusdale/fleet/leader.cpp
+++ b/src/arbutusdale/fleet/leader.cpp
@@ -15,7 +15,7 @@
 // A leader whose reads of submissions and cancellations fail might start tasks of cancelled jobs.
 constexpr Duration k_max_job_age_for_starts = std::chrono::milliseconds{3'000};
 // On a fleet with several shards the daemons' reads of progress would exceed what the store serves.
-constexpr Duration k_write_interval = std::chrono::milliseconds{90};
+constexpr Duration k_write_interval = std::chrono::milliseconds{240};
 
 constexpr Duration k_evidence_interval_per_shard = std::chrono::milliseconds{1'500};
 
--- a/src/arbutusdale/sched/scheduler_storage.cpp
+++ b/src/arbutusdale/sched/scheduler_storage.cpp
@@ -25,7 +25,7 @@
 
 // What is not urgent waits for the next tick, or for a write that is.
 bool Scheduler::may_write_progress() const {
-  return m_has_urgent_progress || m_roster_check_due || !m_pending_starts.empty() ||
+  return m_has_urgent_progress || !m_pending_starts.empty() ||
          m_timer.now() - m_written_at >= m_options.write_interval;
 }
 
@@ -33,7 +33,8 @@
   if (m_flushing) {
     return;
   }
-  if (!may_write_progress()) {
+  auto roster = roster_entry();
+  if (!roster && !may_write_progress()) {
     return;
   }
   if (!m_dirty.empty() || m_timer.now() >= m_store_starts_at) {
@@ -43,7 +44,7 @@
   const std::vector<ProcessedEnds> processed = unstored_ends();
   std::vector<store::KeyedValue> entries;
   std::vector<WorkerSlot> roster_additions;
-  if (auto roster = roster_entry()) {
+  if (roster) {
     entries.push_back(std::move(*roster));
     for (const auto& worker : m_workers.all()) {
       if (may_have_runs(*worker) && !worker->in_roster) {
