--- a/review/standin/cases.hpp
+++ b/review/standin/cases.hpp
@@ -74,6 +74,65 @@
   return shown_failed && failed_ends == 0 ? k_broken : k_held;
 }
 
+/// A start gets no answer, its repeat does, and the task is done. The worker crashes, and its next
+/// life has the same id when the first order is carried out late.
+inline int play_late_start(Deployment& deployment, bool trouble) {
+  constexpr int k_workers = 8;
+  constexpr unsigned k_tasks = 24;
+  constexpr Millis k_late_ms = 3'500;
+  constexpr Millis k_until_crash_ms = 1'800;
+  constexpr Millis k_down_ms = 1'400;
+  add_machines(deployment, k_workers, k_workers);
+  deployment.fleet.plan = [](const TaskName&, const Machine&) { return Plan{500, false}; };
+  std::mutex mutex;
+  std::string machine;
+  std::string late_task;
+  deployment.fleet.late_by = [&](const TaskName& task, unsigned run, const Machine& chosen) {
+    const std::lock_guard lock(mutex);
+    if (!trouble || !machine.empty() || task.index != 7 || run != 1) {
+      return Millis{0};
+    }
+    machine = chosen.name;
+    late_task = fmt::format("{}.{}.{}.{}", task.job, task.occurrence, task.step, task.index);
+    return k_late_ms;
+  };
+  if (!deployment.start()) {
+    return k_could_not_run;
+  }
+  const Queue& queue = deployment.queues[1];
+  const std::string id = Deployment::job_id(1);
+  const json body = one_step({{"Count", k_tasks}, {"Cpu", 7'000}, {"MemMb", 13'000},
+                              {"EstimatedMs", 500}});
+  if (!deployment.submit(queue, id, body)) {
+    return k_could_not_run;
+  }
+  sleep_ms(k_until_crash_ms);
+  deployment.record.write("the job is shown as {}", deployment.state(queue, id, 0));
+  if (trouble) {
+    if (machine.empty()) {
+      return k_could_not_run;
+    }
+    deployment.fleet.crash(machine);
+    sleep_ms(k_down_ms);
+    deployment.fleet.restart(machine, true);
+  }
+  sleep_ms(8'000);
+  int again = 0;
+  for (const NotedEnd& end : deployment.fleet.noted_ends()) {
+    for (const Start& start : deployment.fleet.starts()) {
+      if (end.how == "done" && start.task == end.task && start.at > end.at) {
+        ++again;
+        deployment.record.write("run {} of {} started on {} (born {}) {} ms after a run that ended "
+                                "done had been taken note of",
+                                start.run, start.task, start.worker, start.born,
+                                start.at - end.at);
+      }
+    }
+  }
+  deployment.record.write("{} starts after a success", again);
+  return again > 0 ? k_broken : k_held;
+}
+
 /// The worker of one member of a gang crashes; the gang starts again from a checkpoint.
 inline int play_gang_checkpoint(Deployment& deployment, bool trouble) {
   constexpr int k_workers = 16;
--- a/review/standin/fleet.hpp
+++ b/review/standin/fleet.hpp
@@ -46,6 +46,13 @@
   std::string checkpoint;
 };
 
+/// An end that has been taken note of.
+struct NotedEnd {
+  Millis at = 0;
+  std::string task;
+  std::string how;
+};
+
 struct End {
   std::uint64_t number = 0;
   std::string task;
@@ -104,6 +111,7 @@
   static constexpr Millis k_serving_startup_ms = 300;
   static constexpr Millis k_checkpoint_ms = 500;  // CheckpointS
   static constexpr Millis k_restore_ms = 100;
+  static constexpr Millis k_unanswered_ms = 1'000;  // longer than a daemon waits
 
   Fleet(Store& store, const Clock& clock, Record& record, const SentJobs& jobs)
       : m_store(store), m_clock(clock), m_record(record), m_jobs(jobs) {}
@@ -115,6 +123,10 @@
   std::function<Plan(const TaskName&, const Machine&)> plan = [](const auto&, const auto&) {
     return Plan{};
   };
+  /// For a start order: zero, or how much later it is carried out, without an answer. Called with
+  /// the name of the task, the run and the machine.
+  std::function<Millis(const TaskName&, unsigned, const Machine&)> late_by =
+      [](const auto&, unsigned, const auto&) { return Millis{0}; };
   std::string service = "svc1";
 
   /// Id of the first life of the next machine to be added.
@@ -210,6 +222,10 @@
     const std::lock_guard lock(m_mutex);
     return m_starts;
   }
+  std::vector<NotedEnd> noted_ends() {
+    const std::lock_guard lock(m_mutex);
+    return m_noted_ends;
+  }
   /// Ends of a task's runs of all workers: run and how.
   std::vector<std::pair<unsigned, std::string>> ends_of_job(const std::string& job) {
     const std::lock_guard lock(m_mutex);
@@ -326,6 +342,11 @@
     }
     life.token = token;
     if (request.path == "/run-start") {
+      if (leave_unanswered(life, body)) {
+        lock.unlock();
+        sleep_ms(k_unanswered_ms);
+        return std::nullopt;
+      }
       return start_run(life, body);
     }
     if (request.path == "/run-stop") {
@@ -340,6 +361,41 @@
     return answer(life, 404, {});
   }
 
+  // The order is carried out later, by whichever life has the id then.
+  bool leave_unanswered(const Life& life, const json& body) {
+    const std::string task = body.value("Task", "");
+    const unsigned number = body.value("Run", 0U);
+    const Millis delay = late_by(TaskName::parse(task), number, life.machine);
+    if (delay == 0) {
+      return false;
+    }
+    m_record.write("start {} {} on {} (born {}) is left unanswered", task, number, life.id,
+                   life.born);
+    m_late_orders.push_back({m_clock.now() + delay, life.id, body});
+    return true;
+  }
+
+  void carry_out_late_orders() {
+    for (auto order = m_late_orders.begin(); order != m_late_orders.end();) {
+      if (m_clock.now() < order->due) {
+        ++order;
+        continue;
+      }
+      for (const auto& life : m_lives) {
+        const std::uint64_t token = order->body.value("FencingToken", std::uint64_t{0});
+        if (!life->alive || life->id != order->worker || token < life->token) {
+          continue;
+        }
+        life->token = token;
+        m_record.write("the unanswered start {} {} reaches {} (born {}) late",
+                       order->body.value("Task", ""), order->body.value("Run", 0U), life->id,
+                       life->born);
+        (void)start_run(*life, order->body);
+      }
+      order = m_late_orders.erase(order);
+    }
+  }
+
   Response answer(const Life& life, int status, json body) const {
     if (!body.is_object()) {
       body = json::object();
@@ -434,8 +490,14 @@
   std::optional<Response> hold(Life& life, const json& body, std::unique_lock<std::mutex>& lock) {
     extend_lease(life, body);
     life.acknowledged = std::max(life.acknowledged, body.value("AckedThrough", std::uint64_t{0}));
-    std::erase_if(life.finished,
-                  [&life](const End& end) { return end.number <= life.acknowledged; });
+    std::erase_if(life.finished, [this, &life](const End& end) {
+      const bool known = end.number <= life.acknowledged;
+      if (known) {
+        m_record.write("the end of run {} {} on {} is taken note of", end.task, end.run, life.id);
+        m_noted_ends.push_back({m_clock.now(), end.task, end.how});
+      }
+      return known;
+    });
     const Millis wait_ms = std::min<Millis>(body.value("WaitMs", Millis{0}), 2'000);
     m_changed.wait_for(lock, std::chrono::milliseconds(wait_ms), [this, &life] {
       return m_stopping || !life.alive || !life.finished.empty();
@@ -511,6 +573,7 @@
 
   void tick() {
     const std::lock_guard lock(m_mutex);
+    carry_out_late_orders();
     begin_gangs();
     std::map<std::string, std::string> ended_gangs;  // how the first member ended
     for (const std::string& gang : m_broken_gangs) {
@@ -587,8 +650,15 @@
   std::vector<Machine> m_machines;
   std::vector<std::unique_ptr<Life>> m_lives;  // also those that have ended
   std::map<const Life*, Millis> m_registered_at;
+  struct LateOrder {
+    Millis due = 0;
+    std::string worker;
+    json body;
+  };
+  std::list<LateOrder> m_late_orders;
   std::vector<Start> m_starts;
   std::vector<End> m_all_ends;
+  std::vector<NotedEnd> m_noted_ends;
   std::set<std::string> m_broken_gangs;  // a member has been lost with its worker
   unsigned m_restarts = 0;
   bool m_failed = false;
--- a/review/standin/main.cpp
+++ b/review/standin/main.cpp
@@ -18,6 +18,7 @@
       {"crashes", play_crashes},
       {"gang", play_gang},
       {"gang-checkpoint", play_gang_checkpoint},
+      {"late-start", play_late_start},
       {"lost-kind", play_lost_kind},
       {"lost-rack", play_lost_rack},
       {"same-id", play_same_id},
