Log requests that are sent again and the outcome of disturbed appends

Cause: the logs of the incident could not tell its hypotheses apart. A request that libcurl sends again after its connection closed left no trace, and a batch that was given up named neither its sequence number nor the answer that it was given up for.

Change: events request_repeated and append_resolved, the latter only for batches with a failed attempt. No decision changes.

Measured: one daemon, an append that is executed and whose connection is reset, 503 afterwards: a line request_repeated for sequence 231, then append_resolved refused with 'status 503' for that number, and later batches with the same number. store_test, net_test and observe_test pass.

--- a/include/arbutusdale/observe/event_log.hpp
+++ b/include/arbutusdale/observe/event_log.hpp
@@ -20,6 +20,8 @@
   settings_reloaded,
   dependency_lost,
   dependency_regained,
+  request_repeated,
+  append_resolved,
   configuration_applied,
   job_moved,
   shard_layout_known,
--- a/include/arbutusdale/store/group_commit.hpp
+++ b/include/arbutusdale/store/group_commit.hpp
@@ -71,6 +71,7 @@
   void on_reply(const tl::expected<AppendReply, AppendError>& reply, TimePoint sent);
   void on_error(const AppendError& error, TimePoint sent);
   void finish_batch(CommitOutcome outcome);
+  void log_resolved(CommitOutcome outcome) const;
   void retry_after(Duration delay);
   void refuse_queued();
   [[nodiscard]] bool has_failed_for(Duration time) const;
@@ -89,6 +90,9 @@
   bool m_batch_active = false;                  // a batch is in flight or waits for its retry
   bool m_append_in_flight = false;              // an append has been sent and has no reply yet
   bool m_maybe_stored = false;                  // an attempt of the batch got no reply
+  int m_failed_attempts = 0;                    // of the active batch
+  std::string m_last_error;                     // of the active batch; empty without a failure
+  AppendReply m_last_reply;                     // to the newest successful append
   std::optional<TimePoint> m_unanswered_since;  // send time of the first such attempt
   bool m_fenced = false;
   std::optional<TimePoint> m_last_success_sent;
--- a/src/arbutusdale/net/http_client.cpp
+++ b/src/arbutusdale/net/http_client.cpp
@@ -1,6 +1,8 @@
 // HTTP client on libcurl's multi-socket interface, which processes only the sockets that are ready.
 #include "arbutusdale/net/http_client.hpp"
 
+#include "arbutusdale/observe/event_log.hpp"
+
 #include <algorithm>
 #include <optional>
 #include <unordered_map>
@@ -157,6 +159,10 @@
                               int /*remote_port*/, int /*local_port*/) {
   auto& active = *static_cast<ActiveCall*>(user);
   if (active.request_started) {
+    observe::EventLine(observe::Event::request_repeated)
+        .add("url", active.call.url)
+        .add("allowed", active.call.is_repeatable ? 1 : 0)
+        .write();
     return active.call.is_repeatable ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
   }
   if (active.client->m_loop.read_clock() > active.send_until) {
--- a/src/arbutusdale/observe/event_log.cpp
+++ b/src/arbutusdale/observe/event_log.cpp
@@ -16,13 +16,15 @@
 namespace arbutusdale::observe {
 namespace {
 
-constexpr EnumNames<Event, 42> k_event_names{{
+constexpr EnumNames<Event, 44> k_event_names{{
     {Event::process_started, "process_started"},
     {Event::process_stopping, "process_stopping"},
     {Event::process_stopped, "process_stopped"},
     {Event::settings_reloaded, "settings_reloaded"},
     {Event::dependency_lost, "dependency_lost"},
     {Event::dependency_regained, "dependency_regained"},
+    {Event::request_repeated, "request_repeated"},
+    {Event::append_resolved, "append_resolved"},
     {Event::configuration_applied, "configuration_applied"},
     {Event::job_moved, "job_moved"},
     {Event::shard_layout_known, "shard_layout_known"},
--- a/src/arbutusdale/store/group_commit.cpp
+++ b/src/arbutusdale/store/group_commit.cpp
@@ -1,6 +1,7 @@
 // Batching, retries with the same sequence number, and outcomes at deadlines.
 #include "arbutusdale/store/group_commit.hpp"
 
+#include "arbutusdale/core/enum_names.hpp"
 #include "arbutusdale/observe/event_log.hpp"
 #include "arbutusdale/observe/process_metrics.hpp"
 
@@ -25,6 +26,13 @@
 constexpr int k_timeout_factor = 4;             // of the smoothed latency
 constexpr int k_latency_smoothing_divisor = 4;  // a new sample has a weight of 1/4
 
+constexpr EnumNames<CommitOutcome, 4> k_outcome_names{{
+    {CommitOutcome::stored, "stored"},
+    {CommitOutcome::refused, "refused"},
+    {CommitOutcome::unknown, "unknown"},
+    {CommitOutcome::fenced, "fenced"},
+}};
+
 std::size_t bytes_of(const std::vector<KeyedValue>& entries) {
   std::size_t bytes = 0;
   for (const KeyedValue& entry : entries) {
@@ -96,6 +104,8 @@
   m_batch_active = true;
   m_maybe_stored = false;
   m_unanswered_since.reset();
+  m_failed_attempts = 0;
+  m_last_error.clear();
   send_batch();
 }
 
@@ -138,11 +148,35 @@
         .write();
     m_failing_since.reset();
   }
+  m_last_reply = *reply;
+  log_resolved(CommitOutcome::stored);
   ++m_sequence;
   finish_batch(CommitOutcome::stored);
 }
 
+// Written for batches with a failed attempt only, so that a store that answers in a wrong way can
+// be told from a daemon that reads its answers in a wrong way.
+void GroupCommit::log_resolved(CommitOutcome outcome) const {
+  if (m_failed_attempts == 0) {
+    return;
+  }
+  EventLine(Event::append_resolved)
+      .add("topic", m_partition.topic)
+      .add("partition", m_partition.index)
+      .add("epoch", m_epoch)
+      .add("sequence", m_sequence)
+      .add("writes", m_batch.size())
+      .add("outcome", enum_name(k_outcome_names, outcome))
+      .add("failed_attempts", m_failed_attempts)
+      .add("last_error", m_last_error)
+      .add("last_offset", m_last_reply.first_offset)
+      .add("last_end", m_last_reply.end)
+      .write();
+}
+
 void GroupCommit::on_error(const AppendError& error, TimePoint sent) {
+  ++m_failed_attempts;
+  m_last_error = error.message;
   if (!m_failing_since) {
     m_failing_since = m_timer.now();
     EventLine(Event::dependency_lost)
@@ -156,11 +190,13 @@
   switch (error.reason) {
     case AppendFailure::fenced:
       m_fenced = true;
+      log_resolved(CommitOutcome::fenced);
       // An attempt without a reply may have been stored before the other incarnation took over.
       finish_batch(m_maybe_stored ? CommitOutcome::unknown : CommitOutcome::fenced);
       return;
     case AppendFailure::out_of_sequence:
       if (m_maybe_stored && error.position == m_sequence + 1) {
+        log_resolved(CommitOutcome::stored);
         ++m_sequence;
         finish_batch(CommitOutcome::stored);
         return;
@@ -192,6 +228,7 @@
     expire();
     if (m_fail_fast && !m_maybe_stored && has_failed_for(m_fail_fast->refusing_for)) {
       refuse_queued();
+      log_resolved(CommitOutcome::refused);
       finish_batch(CommitOutcome::refused);
       return;
     }
@@ -199,6 +236,7 @@
       refuse_queued();
     }
     if (m_batch.empty()) {
+      log_resolved(CommitOutcome::refused);
       finish_batch(CommitOutcome::refused);
     } else {
       send_batch();
