Send an append to the store once

What callers saw: around an outage of the store, jobs that had been accepted were gone, jobs that had been refused with 503 ran, and an acknowledged cancellation had no effect.

Cause: an HTTP call was repeatable unless its sender said otherwise. When the connection of an append closes before the response, libcurl sends the append again on a new connection. The first copy may have been executed. When the second copy is answered 503, the daemon takes this for the fate of both: it refuses the jobs of the batch, and uses the sequence number of the batch for the next one, which the store answers as a repeat of the first. That batch is reported as stored and is not. Claims of the leadership and proposals of the shard layout take the same path.

--- a/include/arbutusdale/net/http_client.hpp
+++ b/include/arbutusdale/net/http_client.hpp
@@ -25,8 +25,9 @@
   /// response. A request is never sent later than a second after the call.
   Duration timeout{};
   /// When a reused connection closes before the first byte of the response, libcurl sends the
-  /// request again on a new one. Otherwise the call ends with an error.
-  bool is_repeatable = true;
+  /// request again on a new one. Otherwise the call ends with an error. The result tells of the
+  /// last copy only: its refusal doesn't prove that an earlier copy was not carried out.
+  bool is_repeatable = false;
 };
 
 struct HttpReply {
