--- a/include/arbutusdale/net/http_status.hpp
+++ b/include/arbutusdale/net/http_status.hpp
@@ -11,7 +11,9 @@
 inline constexpr int k_http_gone = 410;
 inline constexpr int k_http_precondition_failed = 412;
 inline constexpr int k_http_misdirected = 421;
+inline constexpr int k_http_too_many_requests = 429;
 inline constexpr int k_http_unavailable = 503;
 inline constexpr int k_http_timeout = 504;
+inline constexpr int k_http_insufficient_storage = 507;
 
 }  // namespace arbutusdale::net
--- a/include/arbutusdale/store/metadata_store.hpp
+++ b/include/arbutusdale/store/metadata_store.hpp
@@ -55,7 +55,7 @@
   fenced,           ///< not appended; a higher epoch is in force
   out_of_sequence,  ///< not appended; `position` is the sequence number expected next
   refused,          ///< not appended; the store is busy or down
-  unknown,          ///< no reply: may have been appended, or may be appended later
+  unknown,          ///< no reply that tells: may have been appended, or may be appended later
 };
 
 struct AppendError {
--- a/src/arbutusdale/store/group_commit.cpp
+++ b/src/arbutusdale/store/group_commit.cpp
@@ -18,7 +18,7 @@
 using observe::EventLine;
 
 constexpr Duration k_refused_retry_delay = std::chrono::milliseconds{100};
-constexpr Duration k_unknown_retry_delay = std::chrono::milliseconds{20};
+constexpr Duration k_unknown_retry_delay = std::chrono::milliseconds{20};  // the first one
 constexpr std::size_t k_max_batch_entries = 256;
 constexpr std::size_t k_max_batch_bytes = 1'000'000;
 constexpr Duration k_min_timeout = std::chrono::milliseconds{250};
@@ -211,7 +211,7 @@
       m_unanswered_since = m_unanswered_since.value_or(sent);
       // The store may only be slow, so the next attempt has a longer timeout.
       m_latency = std::min(m_latency * 2 + k_min_timeout / k_timeout_factor, k_max_timeout);
-      retry_after(k_unknown_retry_delay);
+      retry_after(m_failed_attempts > 1 ? k_refused_retry_delay : k_unknown_retry_delay);
       return;
     case AppendFailure::end_mismatch:
     case AppendFailure::refused:
