Let a sequence number of an append stand for one batch only

What callers saw: jobs were accepted and gone after others had been refused; a leader was told by the store that it expects a lower sequence number.

A batch that was refused, or that went on without a write whose deadline had passed, left its number to other records. And when the store expected a lower number the writer adopted it, although it had used it. A store that has the first records answers the second ones as a repeat, and they are reported as stored. Any wrong refusal therefore lost a second batch.

Change: a writer of jobs begins a new epoch with a new number whenever a number has been sent with other records or the counts differ, which also fences a first copy that is executed later. A confirmation whose offsets lie before the last one or that covers too few records is not taken for the batch.

--- a/include/arbutusdale/store/group_commit.hpp
+++ b/include/arbutusdale/store/group_commit.hpp
@@ -1,5 +1,7 @@
 // Group commit of one producer's records to a partition: entries that arrive while an append is in
 // flight share the next one. Appends carry sequence numbers, so a retried append takes effect once.
+// A number stands for one batch: if the store has ever been sent it with other records, it might
+// answer the new ones as a repeat of those, and they would be lost.
 #pragma once
 
 #include "arbutusdale/core/timer.hpp"
@@ -20,7 +22,14 @@
   stored,
   refused,  ///< not stored and never will be
   unknown,  ///< no reply to an attempt so far; may be stored, now or later
-  fenced,   ///< not stored; a later incarnation of the producer has taken over
+  fenced,   ///< not stored; a later incarnation of the producer has taken over, or the store's
+            ///< count of the appends differs from this one
+};
+
+/// What follows when a sequence number can't be used any more.
+enum class EpochPolicy : std::uint8_t {
+  fixed,  ///< the epoch belongs to the caller, such as a fencing token: all further writes fail
+  rising  ///< no one else appends as this producer: the next epoch begins, with a new number
 };
 
 /// How long appends must have failed before writes fail ahead of their deadlines.
@@ -39,7 +48,8 @@
   /// The first append has the sequence number `first_sequence`.
   GroupCommit(MetadataStore& store, Timer& timer, Partition partition, std::string producer,
               std::uint64_t epoch, std::uint64_t first_sequence,
-              std::optional<FailFastPolicy> fail_fast = std::nullopt);
+              std::optional<FailFastPolicy> fail_fast = std::nullopt,
+              EpochPolicy epoch_policy = EpochPolicy::fixed);
   GroupCommit(const GroupCommit&) = delete;
   GroupCommit& operator=(const GroupCommit&) = delete;
   ~GroupCommit();
@@ -70,6 +80,12 @@
   void send_batch();
   void on_reply(const tl::expected<AppendReply, AppendError>& reply, TimePoint sent);
   void on_error(const AppendError& error, TimePoint sent);
+  /// The store's numbers and this writer's differ, so that the fate of the batch is unknown.
+  void on_count_mismatch(const std::string& message);
+  /// False for the reply to an earlier append, or to one with another number of records.
+  [[nodiscard]] bool belongs_to_batch(const AppendReply& reply) const;
+  [[nodiscard]] bool is_awaited() const;
+  void end_epoch_if_number_was_used();
   void finish_batch(CommitOutcome outcome);
   void log_resolved(CommitOutcome outcome) const;
   void retry_after(Duration delay);
@@ -80,11 +96,13 @@
   Timer& m_timer;
   const Partition m_partition;
   const std::string m_producer;
-  const std::uint64_t m_epoch;
   const std::optional<FailFastPolicy> m_fail_fast;  // empty: writes wait until their deadlines
+  const EpochPolicy m_epoch_policy;
   std::shared_ptr<bool> m_alive;
 
+  std::uint64_t m_epoch;
   std::uint64_t m_sequence;                     // of the active batch, or of the next one
+  bool m_number_was_used = false;               // m_sequence has been sent with other records
   std::deque<Write> m_queued;                   // not sent yet
   std::vector<Write> m_batch;                   // active; kept until its outcome is known
   bool m_batch_active = false;                  // a batch is in flight or waits for its retry
--- a/src/arbutusdale/fleet/job_service.cpp
+++ b/src/arbutusdale/fleet/job_service.cpp
@@ -8,7 +8,7 @@
 namespace arbutusdale::fleet {
 namespace {
 
-constexpr std::uint64_t k_epoch = 1;
+constexpr std::uint64_t k_first_epoch = 1;
 constexpr std::uint64_t k_first_sequence = 1;
 // A caller is better served by a retry at another daemon than by waiting here for a store that does
 // not reply.
@@ -32,7 +32,8 @@
       m_own_partition(jobs::job_partition_of(daemon)) {
   for (const store::Partition& partition : jobs::job_partitions()) {
     m_writers.push_back(std::make_unique<store::GroupCommit>(
-        store, timer, partition, incarnation, k_epoch, k_first_sequence, k_fail_fast));
+        store, timer, partition, incarnation, k_first_epoch, k_first_sequence, k_fail_fast,
+        store::EpochPolicy::rising));
   }
 }
 
--- a/src/arbutusdale/store/fake_store_test.hpp
+++ b/src/arbutusdale/store/fake_store_test.hpp
@@ -50,8 +50,11 @@
  public:
   explicit FakeStore(Timer& timer) : m_timer(timer) {}
 
-  bool down = false;     // refuses every call
-  int lost_replies = 0;  // number of appends that are applied and get no reply
+  bool down = false;           // refuses every call
+  int lost_replies = 0;        // number of appends that are applied and get no reply
+  int false_refusals = 0;      // number of appends that are applied and answered as refused
+  int unreadable_replies = 0;  // number of appends that are not applied and answered with nonsense
+  bool repeats_ignore_epoch = false;  // an append with a known number is a repeat in any epoch
   int late_appends = 0;  // number of appends that get no reply and are applied after `late_by`
   Duration late_by = std::chrono::seconds{3};
   Duration latency = std::chrono::milliseconds{10};
@@ -80,7 +83,17 @@
                            time_out(request, done);
                            return;
                          }
+                         if (unreadable_replies > 0) {
+                           --unreadable_replies;
+                           done(tl::unexpected(AppendError{AppendFailure::unknown, 0, "500"}));
+                           return;
+                         }
                          auto reply = apply(request);
+                         if (false_refusals > 0) {
+                           --false_refusals;
+                           done(tl::unexpected(AppendError{AppendFailure::refused, 0, "busy"}));
+                           return;
+                         }
                          if (lost_replies > 0) {
                            --lost_replies;
                            time_out(request, done);
@@ -112,6 +125,15 @@
     trimmed.first = trimmed.records.size();
   }
 
+  /// Loses what the newest append of the producer stored, as a store does that restarts from an
+  /// older state.
+  void forget_newest_append(const Partition& partition, const std::string& producer) {
+    Log& target = log(partition);
+    Producer& state = target.producers[producer];
+    target.records.resize(state.recent.at(state.sequence).first_offset);
+    state.recent.erase(state.sequence--);
+  }
+
   /// Appends a record directly, as the operator and the workers do.
   void put(const Partition& partition, std::string key, std::string value) {
     Log& target = log(partition);
@@ -152,11 +174,13 @@
       if (request.stamp->epoch < producer.epoch) {
         return tl::unexpected(AppendError{AppendFailure::fenced, 0, "fenced"});
       }
-      if (request.stamp->epoch == producer.epoch) {
+      if (request.stamp->epoch == producer.epoch || repeats_ignore_epoch) {
         const auto repeat = producer.recent.find(request.stamp->sequence);
         if (repeat != producer.recent.end()) {
           return repeat->second;
         }
+      }
+      if (request.stamp->epoch == producer.epoch) {
         if (request.stamp->sequence != producer.sequence + 1) {
           return tl::unexpected(
               AppendError{AppendFailure::out_of_sequence, producer.sequence + 1, "sequence"});
@@ -175,7 +199,7 @@
     if (request.stamp) {
       Producer& producer = target.producers[request.stamp->producer];
       if (request.stamp->epoch > producer.epoch) {
-        producer = {};
+        producer = repeats_ignore_epoch ? producer : Producer{};
         producer.epoch = request.stamp->epoch;
       }
       producer.sequence = request.stamp->sequence;
--- a/src/arbutusdale/store/group_commit.cpp
+++ b/src/arbutusdale/store/group_commit.cpp
@@ -9,6 +9,7 @@
 #include <iterator>
 #include <utility>
 
+#include <fmt/format.h>
 #include <spdlog/spdlog.h>
 
 namespace arbutusdale::store {
@@ -19,6 +20,9 @@
 
 constexpr Duration k_refused_retry_delay = std::chrono::milliseconds{100};
 constexpr Duration k_unknown_retry_delay = std::chrono::milliseconds{20};  // the first one
+// A batch that the store never settles, such as one that it can't take, must not hold up those
+// behind it for longer.
+constexpr Duration k_max_settling_time = std::chrono::seconds{10};
 constexpr std::size_t k_max_batch_entries = 256;
 constexpr std::size_t k_max_batch_bytes = 1'000'000;
 constexpr Duration k_min_timeout = std::chrono::milliseconds{250};
@@ -45,14 +49,15 @@
 
 GroupCommit::GroupCommit(MetadataStore& store, Timer& timer, Partition partition,
                          std::string producer, std::uint64_t epoch, std::uint64_t first_sequence,
-                         std::optional<FailFastPolicy> fail_fast)
+                         std::optional<FailFastPolicy> fail_fast, EpochPolicy epoch_policy)
     : m_store(store),
       m_timer(timer),
       m_partition(std::move(partition)),
       m_producer(std::move(producer)),
-      m_epoch(epoch),
       m_fail_fast(fail_fast),
+      m_epoch_policy(epoch_policy),
       m_alive(std::make_shared<bool>(true)),
+      m_epoch(epoch),
       m_sequence(first_sequence) {}
 
 GroupCommit::~GroupCommit() {
@@ -109,7 +114,17 @@
   send_batch();
 }
 
+// The number rises too, so that a store which compares numbers only takes no batch for a repeat.
+void GroupCommit::end_epoch_if_number_was_used() {
+  const bool ends = std::exchange(m_number_was_used, false);
+  if (ends && m_epoch_policy == EpochPolicy::rising) {
+    ++m_epoch;
+    ++m_sequence;
+  }
+}
+
 void GroupCommit::send_batch() {
+  end_epoch_if_number_was_used();
   AppendRequest request;
   request.partition = m_partition;
   request.stamp = ProducerStamp{m_producer, m_epoch, m_sequence};
@@ -134,6 +149,12 @@
     on_error(reply.error(), sent);
     return;
   }
+  if (!belongs_to_batch(*reply)) {
+    ++m_failed_attempts;
+    m_last_error = fmt::format("reply with offset {} and end {}", reply->first_offset, reply->end);
+    on_count_mismatch(m_last_error);
+    return;
+  }
   m_latency += (m_timer.now() - sent - m_latency) / k_latency_smoothing_divisor;
   // The store may confirm an earlier attempt, and other daemons count from its record.
   m_last_success_sent = m_unanswered_since.value_or(sent);
@@ -149,11 +170,31 @@
     m_failing_since.reset();
   }
   m_last_reply = *reply;
-  log_resolved(CommitOutcome::stored);
-  ++m_sequence;
   finish_batch(CommitOutcome::stored);
 }
 
+bool GroupCommit::belongs_to_batch(const AppendReply& reply) const {
+  std::size_t entries = 0;
+  for (const Write& write : m_batch) {
+    entries += write.entries.size();
+  }
+  return reply.first_offset >= m_last_reply.end && reply.end >= reply.first_offset + entries;
+}
+
+void GroupCommit::on_count_mismatch(const std::string& message) {
+  spdlog::warn("topic {}, partition {}: epoch {}, sequence number {}: {}", m_partition.topic,
+               m_partition.index, m_epoch, m_sequence, message);
+  m_maybe_stored = true;
+  m_number_was_used = true;
+  m_last_reply = {};
+  if (m_epoch_policy == EpochPolicy::fixed) {
+    m_fenced = true;
+    finish_batch(CommitOutcome::fenced);
+    return;
+  }
+  retry_after(k_refused_retry_delay);
+}
+
 // Written for batches with a failed attempt only, so that a store that answers in a wrong way can
 // be told from a daemon that reads its answers in a wrong way.
 void GroupCommit::log_resolved(CommitOutcome outcome) const {
@@ -190,21 +231,15 @@
   switch (error.reason) {
     case AppendFailure::fenced:
       m_fenced = true;
-      log_resolved(CommitOutcome::fenced);
       // An attempt without a reply may have been stored before the other incarnation took over.
       finish_batch(m_maybe_stored ? CommitOutcome::unknown : CommitOutcome::fenced);
       return;
     case AppendFailure::out_of_sequence:
       if (m_maybe_stored && error.position == m_sequence + 1) {
-        log_resolved(CommitOutcome::stored);
-        ++m_sequence;
         finish_batch(CommitOutcome::stored);
         return;
       }
-      spdlog::warn("topic {} expects sequence number {} instead of {}", m_partition.topic,
-                   error.position, m_sequence);
-      m_sequence = error.position;
-      retry_after(k_unknown_retry_delay);
+      on_count_mismatch(fmt::format("the store expects {}", error.position));
       return;
     case AppendFailure::unknown:
       m_maybe_stored = true;
@@ -228,7 +263,6 @@
     expire();
     if (m_fail_fast && !m_maybe_stored && has_failed_for(m_fail_fast->refusing_for)) {
       refuse_queued();
-      log_resolved(CommitOutcome::refused);
       finish_batch(CommitOutcome::refused);
       return;
     }
@@ -236,14 +270,23 @@
       refuse_queued();
     }
     if (m_batch.empty()) {
-      log_resolved(CommitOutcome::refused);
       finish_batch(CommitOutcome::refused);
-    } else {
-      send_batch();
+      return;
     }
+    const bool may_abandon = m_epoch_policy == EpochPolicy::rising && !is_awaited();
+    if (may_abandon && has_failed_for(k_max_settling_time)) {
+      finish_batch(CommitOutcome::unknown);
+      return;
+    }
+    send_batch();
   });
 }
 
+bool GroupCommit::is_awaited() const {
+  return std::any_of(m_batch.begin(), m_batch.end(),
+                     [](const Write& write) { return write.done != nullptr; });
+}
+
 void GroupCommit::expire() {
   const TimePoint now = m_timer.now();
   std::vector<std::pair<Done, CommitOutcome>> ended;
@@ -257,7 +300,9 @@
     ended.emplace_back(std::exchange(write.done, nullptr), outcome);
   }
   if (never_stored) {
-    std::erase_if(m_batch, [](const Write& write) { return !write.done; });
+    const std::size_t removed =
+        std::erase_if(m_batch, [](const Write& write) { return !write.done; });
+    m_number_was_used = m_number_was_used || removed > 0;
   }
   std::deque<Write> queued;
   for (Write& write : m_queued) {
@@ -274,6 +319,12 @@
 }
 
 void GroupCommit::finish_batch(CommitOutcome outcome) {
+  log_resolved(outcome);
+  if (outcome == CommitOutcome::stored) {
+    ++m_sequence;
+  } else {
+    m_number_was_used = true;
+  }
   std::vector<Write> batch = std::exchange(m_batch, {});
   m_batch_active = false;
   if (m_fenced) {
