Give each claim of the leadership a number of its own

Cause, by reading: every claim of a process carried one sequence number, so that a store which compares numbers without epochs would confirm a second claim with the answer to the first, without a record.

Change: the number depends on the process and the fencing token; a claim that is sent again for the same token keeps it.

Measured: node/each_claim_of_a_process_has_a_number_of_its_own fails without the change and passes with it.

--- a/src/arbutusdale/fleet/shard_member.cpp
+++ b/src/arbutusdale/fleet/shard_member.cpp
@@ -26,6 +26,12 @@
   return shard == jobs::k_first_shard ? daemon : daemon + "#" + std::to_string(shard);
 }
 
+// Differs between the claims of all daemons, since an append with a known number is a repeat to the
+// store. A claim that is sent again for the same token keeps its number.
+std::uint64_t claim_sequence(const std::string& incarnation, std::uint64_t fencing_token) {
+  return stable_hash(incarnation + "#" + std::to_string(fencing_token)) % k_claim_sequence_count;
+}
+
 Duration read_delay(const jobs::ShardLayout& layout) {
   return k_read_delay + (layout.count - 1) * k_read_delay_per_shard;
 }
@@ -155,7 +161,7 @@
                    ? static_cast<std::uint32_t>(m_jobs.leadership(m_shard)->term()) + 1
                    : 1;
   claim.fencing_token = end + 1;
-  claim.claim_sequence = stable_hash(m_deps.incarnation) % k_claim_sequence_count;
+  claim.claim_sequence = claim_sequence(m_deps.incarnation, claim.fencing_token);
   claim.claimed_at = m_deps.timer.now();
   if (m_pending_claim && m_pending_claim->fencing_token == claim.fencing_token) {
     // The store may confirm the earlier claim, from whose record the other daemons count.
--- a/src/arbutusdale/fleet/suspended_leader_test.cpp
+++ b/src/arbutusdale/fleet/suspended_leader_test.cpp
@@ -1,5 +1,7 @@
 // A leader that was suspended, and whose successor does not reach all of its workers.
 #include <chrono>
+#include <cstdint>
+#include <map>
 
 #include "cluster_test.hpp"
 #include <criterion/criterion.h>
@@ -45,3 +47,25 @@
                  static_cast<long>(offset.count()));
   }
 }
+
+// Guards against a claim that a store answers as a repeat of an earlier claim of the same process.
+Test(node, each_claim_of_a_process_has_a_number_of_its_own) {
+  Cluster cluster(2);
+  cluster.timer.advance(1s);
+  const std::size_t first = cluster.leader();
+  const std::size_t second = 1 - first;
+  cluster.daemons[first]->process.suspend();
+  cluster.timer.advance(5s);
+  cluster.daemons[first]->process.resume();
+  cluster.timer.advance(1s);
+  cr_assert_eq(cluster.leader(), second);
+  cluster.daemons[second]->process.suspend();
+  cluster.timer.advance(5s);
+  cr_assert(cluster.daemons[first]->node->leads(jobs::k_first_shard));
+  std::map<std::uint64_t, std::uint64_t> epochs;  // by number
+  for (const store::ProducerStamp& claim : cluster.store.conditional) {
+    const auto [found, added] = epochs.emplace(claim.sequence, claim.epoch);
+    cr_assert(added || found->second == claim.epoch);
+  }
+  cr_assert_geq(epochs.size(), 3U);
+}
--- a/src/arbutusdale/store/fake_store_test.hpp
+++ b/src/arbutusdale/store/fake_store_test.hpp
@@ -58,10 +58,14 @@
   int late_appends = 0;  // number of appends that get no reply and are applied after `late_by`
   Duration late_by = std::chrono::seconds{3};
   Duration latency = std::chrono::milliseconds{10};
-  int appends = 0;         // number of appends applied
-  Duration append_time{};  // of one append; a partition processes one at a time
+  int appends = 0;                         // number of appends applied
+  std::vector<ProducerStamp> conditional;  // stamps of the appends with an expected end
+  Duration append_time{};                  // of one append; a partition processes one at a time
 
   void append(AppendRequest request, AppendDone done) override {
+    if (request.expected_end && request.stamp) {
+      conditional.push_back(*request.stamp);
+    }
     Log& target = log(request.partition);
     const TimePoint begin = std::max(m_timer.now() + latency, target.busy_until);
     if (begin - m_timer.now() > k_max_queue_delay) {
