Append nothing, and use no number, for a write without records

What callers saw: nothing is shown to follow from it with the old rules.

Cause: when the last run of a removed job vanished, the leader wrote the progress of no job: an append with an empty body, with the next sequence number. To the store this sets the epoch and appends nothing. Found by review; that the platform's store does not count it is not shown.

Change: group commit answers a write without records at once, and the scheduler makes none. The fake store can leave such appends uncounted, and remembers whether a number came with other records.

--- a/src/arbutusdale/sched/scheduler_storage.cpp
+++ b/src/arbutusdale/sched/scheduler_storage.cpp
@@ -70,6 +70,11 @@
     entries.push_back(jobs::encode(job->progress(m_workers, m_timer.wall_ms())));
     written.push_back(id);
   }
+  if (entries.empty() && m_pending_starts.empty()) {
+    // The jobs have been removed meanwhile.
+    on_flushed(true, written, processed);
+    return;
+  }
   m_flushing = true;
   m_written_at = m_timer.now();
   m_has_urgent_progress = false;
--- a/src/arbutusdale/store/fake_store_test.hpp
+++ b/src/arbutusdale/store/fake_store_test.hpp
@@ -7,8 +7,10 @@
 #include <algorithm>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -54,18 +56,24 @@
   int lost_replies = 0;        // number of appends that are applied and get no reply
   int false_refusals = 0;      // number of appends that are applied and answered as refused
   int unreadable_replies = 0;  // number of appends that are not applied and answered with nonsense
-  bool repeats_ignore_epoch = false;  // an append with a known number is a repeat in any epoch
+  std::optional<AppendReply> wrong_reply;  // to the next append, which is not applied
+  bool repeats_ignore_epoch = false;       // an append with a known number is a repeat in any epoch
   int late_appends = 0;  // number of appends that get no reply and are applied after `late_by`
   Duration late_by = std::chrono::seconds{3};
   Duration latency = std::chrono::milliseconds{10};
   int appends = 0;                         // number of appends applied
   std::vector<ProducerStamp> conditional;  // stamps of the appends with an expected end
-  Duration append_time{};                  // of one append; a partition processes one at a time
+  /// An append without records sets the epoch only; its number is not counted.
+  bool empty_appends_count = true;
+  /// A number of a producer's epoch has come with other records than before.
+  bool number_was_reused = false;
+  Duration append_time{};  // of one append; a partition processes one at a time
 
   void append(AppendRequest request, AppendDone done) override {
     if (request.expected_end && request.stamp) {
       conditional.push_back(*request.stamp);
     }
+    note_number(request);
     Log& target = log(request.partition);
     const TimePoint begin = std::max(m_timer.now() + latency, target.busy_until);
     if (begin - m_timer.now() > k_max_queue_delay) {
@@ -92,6 +100,10 @@
                            done(tl::unexpected(AppendError{AppendFailure::unknown, 0, "500"}));
                            return;
                          }
+                         if (wrong_reply) {
+                           done(*std::exchange(wrong_reply, std::nullopt));
+                           return;
+                         }
                          auto reply = apply(request);
                          if (false_refusals > 0) {
                            --false_refusals;
@@ -161,6 +173,21 @@
     TimePoint busy_until{};
   };
 
+  void note_number(const AppendRequest& request) {
+    if (!request.stamp) {
+      return;
+    }
+    std::string records;
+    for (const KeyedValue& entry : request.entries) {
+      records += entry.key + "=" + entry.value + ";";
+    }
+    const auto& [producer, epoch, sequence] = *request.stamp;
+    const auto number =
+        std::tuple{request.partition.topic, request.partition.index, producer, epoch, sequence};
+    const auto [found, added] = m_sent.emplace(number, records);
+    number_was_reused = number_was_reused || (!added && found->second != records);
+  }
+
   Log& log(const Partition& partition) {
     return m_logs[partition.topic + "/" + std::to_string(partition.index)];
   }
@@ -206,6 +233,9 @@
         producer = repeats_ignore_epoch ? producer : Producer{};
         producer.epoch = request.stamp->epoch;
       }
+      if (request.entries.empty() && !empty_appends_count) {
+        return reply;
+      }
       producer.sequence = request.stamp->sequence;
       producer.recent[request.stamp->sequence] = reply;
     }
@@ -256,8 +286,13 @@
     return page;
   }
 
+  using AppendNumber =
+      std::tuple<std::string, std::uint32_t, std::string, std::uint64_t, std::uint64_t>;
+
   Timer& m_timer;
   std::map<std::string, Log> m_logs;
+  std::map<AppendNumber, std::string>
+      m_sent;  // records by topic, partition, producer, epoch, number
 };
 
 }  // namespace arbutusdale::store
--- a/src/arbutusdale/store/group_commit.cpp
+++ b/src/arbutusdale/store/group_commit.cpp
@@ -69,6 +69,11 @@
     done(CommitOutcome::fenced);
     return;
   }
+  if (entries.empty()) {
+    // To the store, an append without records only sets the epoch; its number is not counted.
+    done(CommitOutcome::stored);
+    return;
+  }
   const bool store_is_failing =
       m_batch_active && m_fail_fast && has_failed_for(m_fail_fast->failing_for);
   if (store_is_failing) {
