Keep a claim that may be stored when its copy is refused

What callers saw: nothing is shown; a fleet without a leader for up to 2.2 s longer than needed.

Cause: a claim without an answer is sent again with the same token. When the copy was refused, or found that the partition had grown by the first copy, the daemon forgot the claim, read its own record, and took itself for led by another. Found by review.

Change: a refusal does not drop the pending claim; it is compared with the records that are read, and the next claim replaces it.

Measured: node/leads_after_a_stored_claim_was_refused fails without the change and passes with it.

--- a/src/arbutusdale/fleet/fleet_test.cpp
+++ b/src/arbutusdale/fleet/fleet_test.cpp
@@ -297,6 +297,15 @@
   cr_assert(leadership->daemon().starts_with("daemon0."), "%s", leadership->daemon().c_str());
 }
 
+// Guards against a fleet without a leader until the election timeout, when a claim without an
+// answer is stored and its copy is refused.
+Test(node, leads_after_a_stored_claim_was_refused) {
+  Cluster cluster(1);
+  cluster.store.false_refusals = 2;  // of the layout and of the claim
+  cluster.timer.advance(2500ms);
+  cr_assert_eq(cluster.leaders(), 1);
+}
+
 // Guards against two seconds without a leader after the leader's process has been restarted.
 Test(node, a_restarted_leader_claims_at_once) {
   Cluster cluster(1);
--- a/src/arbutusdale/fleet/shard_member.cpp
+++ b/src/arbutusdale/fleet/shard_member.cpp
@@ -206,10 +206,7 @@
       .add("error", reply.error().message)
       .write();
   m_election.on_claim_refused(m_deps.timer.now());
-  if (reply.error().reason != store::AppendFailure::unknown) {
-    m_pending_claim.reset();
-    return;
-  }
+  // An earlier copy of this claim that had no answer may be stored, whatever this one is told.
   become_leader_if_claim_stored();
 }
 
