--- a/include/arbutusdale/observe/event_log.hpp
+++ b/include/arbutusdale/observe/event_log.hpp
@@ -52,6 +52,7 @@
   run_presumed_ended,
   run_unexpected,
   task_given_up,
+  task_waiting,
   pace_changed,
   advice_received,
   advice_missing,
--- a/include/arbutusdale/sched/placement.hpp
+++ b/include/arbutusdale/sched/placement.hpp
@@ -14,6 +14,7 @@
 #include "arbutusdale/sched/worker_scarcity.hpp"
 #include "arbutusdale/sched/worker_table.hpp"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -34,6 +35,26 @@
   bool ignores_recent_starts = false;
 };
 
+/// Why a worker does not run a task now.
+enum class Exclusion : std::uint8_t {
+  none,
+  late_start,    ///< the task waits for the worker that left its last start unanswered
+  service,       ///< the worker belongs to another service
+  not_ready,     ///< it is draining or not registered
+  unreachable,   ///< it has not answered lately, or the stored roster does not name it
+  withheld,      ///< an order to its earlier incarnation may still be carried out
+  quarantined,   ///< runs have failed there in a row
+  refused,       ///< it has just refused a start
+  unwanted_run,  ///< it has a run that is not expected there
+  suspect,       ///< it runs a suspect alone, is reserved for one, or is not quiet enough for one
+  label,
+  max_per_worker,
+  rack,
+  capacity,
+  interference,  ///< the image may disturb its serving tasks
+  ticket,
+};
+
 /// True when the worker accepts tasks of the service's queues at all.
 bool accepts_tasks(const Worker& worker, const std::string& service, TimePoint now);
 
@@ -49,6 +70,9 @@
 /// True when the worker has the capacity for the task and meets its constraints. Ignores tickets.
 bool can_host(const PlacementView& view, const Worker& worker, const Task& task);
 
+/// The first reason found for which the worker does not run the task now.
+Exclusion exclusion_of(const PlacementView& view, const Worker& worker, const Task& task);
+
 /// True when the worker may run the task now: it can host it and has any ticket that it needs.
 bool is_eligible(const PlacementView& view, const Worker& worker, const Task& task);
 
--- a/include/arbutusdale/sched/scheduler.hpp
+++ b/include/arbutusdale/sched/scheduler.hpp
@@ -210,6 +210,10 @@
   /// The same for any other task; all members of a gang are started together.
   Visit visit_ordinary_task(Task& task, RoundState& round);
   void update_scarcity();
+
+  // Log lines on tasks that wait, scheduler_waiting.cpp.
+  [[nodiscard]] const Task* find_longest_waiting_task() const;
+  void log_waiting_task();
   [[nodiscard]] PlacementView placement_view() const;
   bool place_task(Task& task, PlacementRound& round);
   [[nodiscard]] bool is_starved(const Task& task) const;
@@ -329,6 +333,7 @@
   std::set<jobs::JobId> m_finished;  // jobs to remove once their end is stored
   TimePoint m_started_at{};
   TimePoint m_evidence_saved_at{};
+  TimePoint m_waiting_logged_at{};  // last line on a task that waits
   bool m_evidence_due = false;
   bool m_flushing = false;
   /// Median speed of the workers with a recent sample; empty while there are too few.
--- a/src/arbutusdale/observe/event_log.cpp
+++ b/src/arbutusdale/observe/event_log.cpp
@@ -16,7 +16,7 @@
 namespace arbutusdale::observe {
 namespace {
 
-constexpr EnumNames<Event, 42> k_event_names{{
+constexpr EnumNames<Event, 43> k_event_names{{
     {Event::process_started, "process_started"},
     {Event::process_stopping, "process_stopping"},
     {Event::process_stopped, "process_stopped"},
@@ -55,6 +55,7 @@
     {Event::run_presumed_ended, "run_presumed_ended"},
     {Event::run_unexpected, "run_unexpected"},
     {Event::task_given_up, "task_given_up"},
+    {Event::task_waiting, "task_waiting"},
     {Event::pace_changed, "pace_changed"},
     {Event::advice_received, "advice_received"},
     {Event::advice_missing, "advice_missing"},
--- a/src/arbutusdale/sched/placement.cpp
+++ b/src/arbutusdale/sched/placement.cpp
@@ -81,13 +81,13 @@
   return view.ignores_recent_starts || worker.is_quiet(view.now);
 }
 
-bool has_idle_capacity(const PlacementView& view, const Worker& worker, const Task& task) {
+bool has_idle_processors(const Worker& worker, const Task& task) {
   const auto idle = static_cast<double>(worker.idle_cpu_millis());
   const auto need = static_cast<double>(task.step->need.cpu_millis);
-  return idle >= need * k_min_idle_share && accepts_image(view, worker, task.step->image);
+  return idle >= need * k_min_idle_share;
 }
 
-bool has_capacity(const PlacementView& view, const Worker& worker, const Task& task) {
+Exclusion capacity_exclusion(const PlacementView& view, const Worker& worker, const Task& task) {
   const Step& step = *task.step;
   Resources need = step.need;
   if (step.spec->opportunistic()) {
@@ -96,18 +96,74 @@
   // The difference is zero where the capacity has shrunk below what is committed.
   if (!fits(worker.committed, worker.entry.capacity) ||
       !fits(need, minus(worker.entry.capacity, worker.committed))) {
-    return false;
+    return Exclusion::capacity;
+  }
+  if (!step.spec->opportunistic()) {
+    return Exclusion::none;
+  }
+  if (!has_idle_processors(worker, task)) {
+    return Exclusion::capacity;
+  }
+  return accepts_image(view, worker, step.image) ? Exclusion::none : Exclusion::interference;
+}
+
+/// Why the worker accepts no tasks of the service's queues.
+Exclusion worker_exclusion(const Worker& worker, const std::string& service, TimePoint now) {
+  if (!worker.registered || worker.entry.state != WorkerState::ready) {
+    return Exclusion::not_ready;
+  }
+  if (worker.has_unwanted_runs) {
+    return Exclusion::unwanted_run;
+  }
+  if (worker.is_withheld(now)) {
+    return Exclusion::withheld;
+  }
+  if (worker.isolated_runs > 0) {
+    return Exclusion::suspect;
+  }
+  if (now < worker.quarantined_until) {
+    return Exclusion::quarantined;
+  }
+  if (now < worker.backoff_until) {
+    return Exclusion::refused;
+  }
+  if (!worker.is_reachable(now)) {
+    return Exclusion::unreachable;
   }
-  return !step.spec->opportunistic() || has_idle_capacity(view, worker, task);
+  return worker.entry.service == service ? Exclusion::none : Exclusion::service;
+}
+
+/// Why the worker can't host the task, tickets aside.
+Exclusion host_exclusion(const PlacementView& view, const Worker& worker, const Task& task) {
+  const Step& step = *task.step;
+  if (worker.slot != task.late_start.worker && awaits_late_start(view, task)) {
+    return Exclusion::late_start;
+  }
+  const Exclusion by_worker = worker_exclusion(worker, step.job->terms().service(), view.now);
+  if (by_worker != Exclusion::none) {
+    return by_worker;
+  }
+  if (!may_start_beside_suspects(view, worker, task)) {
+    return Exclusion::suspect;
+  }
+  const std::string& label = step.spec->required_label();
+  if (!label.empty() && !worker.has_label(label)) {
+    return Exclusion::label;
+  }
+  const std::uint32_t limit = step.spec->max_per_worker();
+  if (limit > 0 && worker.runs_of(step) >= limit) {
+    return Exclusion::max_per_worker;
+  }
+  if (!is_rack_acceptable(worker, task, view.now)) {
+    return Exclusion::rack;
+  }
+  return capacity_exclusion(view, worker, task);
 }
 
 }  // namespace
 
 bool accepts_tasks(const Worker& worker, const std::string& service, TimePoint now) {
-  return worker.registered && worker.entry.state == WorkerState::ready &&
-         !worker.has_unwanted_runs && !worker.is_withheld(now) && worker.isolated_runs == 0 &&
-         now >= worker.quarantined_until && now >= worker.backoff_until &&
-         worker.is_reachable(now) && worker.entry.service == service;
+  return worker_exclusion(worker, service, now) == Exclusion::none;
 }
 
 bool accepts_image(const PlacementView& view, const Worker& worker, ImageId image) {
@@ -182,32 +238,22 @@
 }
 
 bool can_host(const PlacementView& view, const Worker& worker, const Task& task) {
-  const Step& step = *task.step;
-  if (worker.slot != task.late_start.worker && awaits_late_start(view, task)) {
-    return false;
-  }
-  if (!accepts_tasks(worker, step.job->terms().service(), view.now)) {
-    return false;
-  }
-  if (!may_start_beside_suspects(view, worker, task)) {
-    return false;
-  }
-  const std::string& label = step.spec->required_label();
-  if (!label.empty() && !worker.has_label(label)) {
-    return false;
-  }
-  const std::uint32_t limit = step.spec->max_per_worker();
-  if (limit > 0 && worker.runs_of(step) >= limit) {
-    return false;
+  return host_exclusion(view, worker, task) == Exclusion::none;
+}
+
+Exclusion exclusion_of(const PlacementView& view, const Worker& worker, const Task& task) {
+  const Exclusion by_host = host_exclusion(view, worker, task);
+  if (by_host != Exclusion::none) {
+    return by_host;
   }
-  return is_rack_acceptable(worker, task, view.now) && has_capacity(view, worker, task);
+  const Step& step = *task.step;
+  const bool has_ticket =
+      !step.job->terms().advised() || view.tickets.find(step, worker, view.now) != nullptr;
+  return has_ticket ? Exclusion::none : Exclusion::ticket;
 }
 
 bool is_eligible(const PlacementView& view, const Worker& worker, const Task& task) {
-  const Step& step = *task.step;
-  const bool advised = step.job->terms().advised();
-  return can_host(view, worker, task) &&
-         (!advised || view.tickets.find(step, worker, view.now) != nullptr);
+  return exclusion_of(view, worker, task) == Exclusion::none;
 }
 
 std::optional<WorkerSlot> choose_worker(const PlacementView& view, const Task& task) {
--- a/src/arbutusdale/sched/scheduler.cpp
+++ b/src/arbutusdale/sched/scheduler.cpp
@@ -369,6 +369,7 @@
   move_waiting_jobs();
   update_scarcity();
   update_typical_speed();
+  log_waiting_task();
   m_place_due = true;
   m_roster_check_due = true;
   process_pending();
--- /dev/null
+++ b/src/arbutusdale/sched/scheduler_waiting.cpp
@@ -0,0 +1,100 @@
+// Log lines on tasks that wait: which conditions exclude the workers.
+#include "arbutusdale/core/enum_names.hpp"
+#include "arbutusdale/observe/event_log.hpp"
+#include "arbutusdale/sched/placement.hpp"
+#include "arbutusdale/sched/scheduler.hpp"
+
+#include <cstddef>
+#include <map>
+#include <string>
+
+#include <fmt/format.h>
+
+namespace arbutusdale::sched {
+namespace {
+
+using observe::Event;
+using observe::EventLine;
+
+// Shorter than the time after which a job counts as stuck.
+constexpr Duration k_reported_wait = std::chrono::seconds{2};
+constexpr Duration k_report_interval = std::chrono::seconds{1};
+
+constexpr EnumNames<Exclusion, 16> k_exclusion_names{{
+    {Exclusion::none, "none"},
+    {Exclusion::late_start, "late_start"},
+    {Exclusion::service, "service"},
+    {Exclusion::not_ready, "not_ready"},
+    {Exclusion::unreachable, "unreachable"},
+    {Exclusion::withheld, "withheld"},
+    {Exclusion::quarantined, "quarantined"},
+    {Exclusion::refused, "refused"},
+    {Exclusion::unwanted_run, "unwanted_run"},
+    {Exclusion::suspect, "suspect"},
+    {Exclusion::label, "label"},
+    {Exclusion::max_per_worker, "max_per_worker"},
+    {Exclusion::rack, "rack"},
+    {Exclusion::capacity, "capacity"},
+    {Exclusion::interference, "interference"},
+    {Exclusion::ticket, "ticket"},
+}};
+
+/// Number of workers by the reason that excludes them, such as "capacity:40,withheld:2".
+std::string count_exclusions(const PlacementView& view, const Task& task) {
+  std::map<Exclusion, std::size_t> counts;
+  for (const auto& worker : view.workers.all()) {
+    ++counts[exclusion_of(view, *worker, task)];
+  }
+  std::string text;
+  for (const auto& [exclusion, count] : counts) {
+    const char* separator = text.empty() ? "" : ",";
+    text += fmt::format("{}{}:{}", separator, enum_name(k_exclusion_names, exclusion), count);
+  }
+  return text;
+}
+
+}  // namespace
+
+// Of lasting tasks, and of the tasks of jobs that have no run.
+const Task* Scheduler::find_longest_waiting_task() const {
+  const Task* longest = nullptr;
+  m_ready.for_each_step([&longest](const Step& step, std::size_t) {
+    if (!step.spec->long_running() && step.job->has_runs()) {
+      return;
+    }
+    for (const Task& task : step.tasks) {
+      const bool waits_longer = task.phase == TaskPhase::waiting &&
+                                (longest == nullptr || task.ready_at < longest->ready_at);
+      longest = waits_longer ? &task : longest;
+    }
+  });
+  return longest;
+}
+
+void Scheduler::log_waiting_task() {
+  const TimePoint now = m_timer.now();
+  if (now - m_waiting_logged_at < k_report_interval) {
+    return;
+  }
+  const Task* task = find_longest_waiting_task();
+  if (task == nullptr || now - task->ready_at < k_reported_wait) {
+    return;
+  }
+  m_waiting_logged_at = now;
+  const Step& step = *task->step;
+  EventLine(Event::task_waiting)
+      .add("job", step.job->id.view())
+      .add("step", step.index)
+      .add("task", task->index)
+      .add_ms("waited_ms", now - task->ready_at)
+      .add("cpu_millis", step.need.cpu_millis)
+      .add("opportunistic", step.spec->opportunistic() ? 1 : 0)
+      .add("suspect", task->crashes.is_suspect() ? 1 : 0)
+      .add("fleet_is_idle", m_fleet_is_idle ? 1 : 0)
+      .add("may_start", may_start() ? 1 : 0)
+      .add("starts_in_flight", m_starts_in_flight)
+      .add("excluded", count_exclusions(placement_view(), *task))
+      .write();
+}
+
+}  // namespace arbutusdale::sched
