Bound the wait for a draining worker that left a start unanswered

Cause: a task whose start a worker left unanswered waited until that worker had exited, or for 20 s.

The wait has the bound of the ready workers now, 2 s, below the 3 s after which a job counts as stuck. In this life of the worker the confirmed stop refuses the late start. The wait guards against a restart under the same id whose late start comes while it lasts; after the worker's exit a task was let go at once before, too, so that such a restart was not guarded against for the whole bound in either case. A draining worker that restarts under its id between 2 s and its exit is a case that is no longer covered.

Evidence: held_back/a_task_leaves_a_worker_that_drains_for_long failed before and passes now; it moves to restarted_worker_test.cpp.

--- a/include/arbutusdale/sched/placement.hpp
+++ b/include/arbutusdale/sched/placement.hpp
@@ -63,8 +63,9 @@
 
 /// True when the task starts only on the worker that left its last start unanswered: what is
 /// ordered there supersedes the late start, whereas a run elsewhere would be doubled by it after a
-/// restart of the worker. Ends when the worker has left, has been silent for the longest lease, or,
-/// while it is ready, has left two runs unanswered, is withheld or has no room for a while.
+/// restart of the worker. Ends when the task has waited for the worker for a while, when the worker
+/// has left or been silent for the longest lease, or, while it is ready, when it has left two runs
+/// unanswered or is withheld.
 bool awaits_late_start(const PlacementView& view, const Task& task);
 
 /// True when the worker has the capacity for the task and meets its constraints. Ignores tickets.
--- a/src/arbutusdale/sched/placement.cpp
+++ b/src/arbutusdale/sched/placement.cpp
@@ -23,7 +23,7 @@
 // Share of its estimate that a task waits for its rack before it runs elsewhere, more slowly.
 constexpr double k_rack_wait_share = 0.5;
 
-// Waiting for a ready worker stays well below the time after which a job counts as stuck.
+// Waiting for one worker stays well below the time after which a job counts as stuck.
 constexpr Duration k_late_start_wait = std::chrono::seconds{2};
 constexpr std::uint32_t k_max_unanswered_runs = 2;
 
@@ -230,11 +230,13 @@
   if (!worker.registered || worker.has_ended || view.now - worker.last_answer > k_max_lease) {
     return false;
   }
+  if (view.now - late.awaited_since > k_late_start_wait) {
+    return false;
+  }
   if (worker.entry.state == WorkerState::draining) {
     return true;
   }
-  return late.unanswered_runs < k_max_unanswered_runs && !worker.is_withheld(view.now) &&
-         view.now - late.awaited_since <= k_late_start_wait;
+  return late.unanswered_runs < k_max_unanswered_runs && !worker.is_withheld(view.now);
 }
 
 bool can_host(const PlacementView& view, const Worker& worker, const Task& task) {
--- a/src/arbutusdale/sched/restarted_worker_test.cpp
+++ b/src/arbutusdale/sched/restarted_worker_test.cpp
@@ -451,3 +451,11 @@
   fixture.timer.advance(5s);
   cr_assert_eq(fixture.fleet.running(), 1U);
 }
+
+// Guards against a task that waits until a draining worker exits, which may take many seconds.
+Test(held_back, a_task_leaves_a_worker_that_drains_for_long) {
+  HeldBackFixture fixture;
+  fixture.set_state("w00", WorkerState::draining);
+  fixture.timer.advance(5s);
+  cr_assert_eq(fixture.fleet.running(), 1U);
+}
