Leave places for suspects that silent workers held

Cause: at most an eighth of the workers, two at least, have an isolated suspect, and a worker that had crashed under one counted until it returned or its leases expired, 3 to 6 s. Suspects that crash nothing waited behind those that do.

A worker that is silent under a suspect takes none of these places any more. Silent and answering ones together are at most twice that share, so that suspects can't crash the fleet at a higher rate than a quarter of it at a time.

--- a/src/arbutusdale/sched/scheduler_placement.cpp
+++ b/src/arbutusdale/sched/scheduler_placement.cpp
@@ -24,6 +24,8 @@
 // Share of the workers on which suspects are started at a time, since each may crash its worker.
 constexpr double k_max_isolated_share = 0.125;
 constexpr std::size_t k_min_isolated_workers = 2;
+// With those that have fallen silent under a suspect, this multiple of that share.
+constexpr std::size_t k_silent_isolated_factor = 2;
 // A suspect that has waited this long for a worker without recent starts gets one reserved.
 constexpr Duration k_reservation_delay = std::chrono::milliseconds{200};
 constexpr Duration k_reservation_time = k_settling_time + std::chrono::milliseconds{200};
@@ -209,17 +211,24 @@
   return true;
 }
 
+// A worker that is silent under a suspect may have crashed, so it takes none of the places of those
+// that still answer. Counted together, they bound the share of the fleet that suspects may crash.
 bool Scheduler::may_isolate() const {
-  const auto& workers = m_workers.all();
   std::size_t registered = 0;
   std::size_t isolated = 0;
-  for (const auto& worker : workers) {
+  std::size_t silent = 0;
+  for (const auto& worker : m_workers.all()) {
     registered += worker->registered ? 1 : 0;
-    isolated += worker->isolated_runs > 0 ? 1 : 0;
+    if (worker->isolated_runs == 0) {
+      continue;
+    }
+    const bool is_silent = worker->silent_since != TimePoint{};
+    ++(is_silent ? silent : isolated);
   }
-  const auto limit =
+  const auto share =
       static_cast<std::size_t>(static_cast<double>(registered) * k_max_isolated_share);
-  return isolated < std::max(limit, k_min_isolated_workers);
+  const std::size_t limit = std::max(share, k_min_isolated_workers);
+  return isolated < limit && isolated + silent < limit * k_silent_isolated_factor;
 }
 
 // Starts a task that may have crashed a worker where nothing else was started recently. Reserves
