--- a/src/arbutusdale/sched/scheduler.cpp
+++ b/src/arbutusdale/sched/scheduler.cpp
@@ -144,6 +144,9 @@
   }
   task.phase = TaskPhase::waiting;
   task.ready_at = m_timer.now();
+  if (task.late_start.awaited_since == TimePoint{}) {
+    task.late_start.awaited_since = task.ready_at;
+  }
   m_ready.push(task, m_timer.now());
   m_place_due = true;
 }
@@ -369,6 +372,7 @@
   move_waiting_jobs();
   update_scarcity();
   update_typical_speed();
+  log_waiting_task();
   m_place_due = true;
   m_roster_check_due = true;
   process_pending();
