Let an overtaken read replace no newer record

What callers saw: nothing is shown; found by reading in the inquiry into tasks that wait.

Cause: a follower reads in parallel when it catches up after a change of leader. When the reply to the earlier read arrives last, its records were applied again, after newer ones of the same keys. A daemon's view of a job's progress could so fall back until the next record of that job, and a leader that took over from this view would start from it.

Change: records before the offset that has been delivered are not delivered again.

Measured: partition_follower/an_overtaken_reply_replaces_no_newer_record fails without the change and passes with it.

--- a/include/arbutusdale/store/partition_follower.hpp
+++ b/include/arbutusdale/store/partition_follower.hpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace arbutusdale::store {
 
@@ -45,7 +46,6 @@
 
   void start();
   /// Reads what has been appended so far at once, in parallel with a long poll that may be pending.
-  /// Records may be delivered twice.
   void catch_up();
   void set_read_delay(Duration read_delay) { m_options.read_delay = read_delay; }
 
@@ -64,6 +64,7 @@
   void on_page(const ScanPage& page, TimePoint started_at);
   void read();
   void on_read(const ReadReply& reply, TimePoint sent);
+  void deliver(const std::vector<Record>& records);
   void on_error(const ReadError& error);
   void schedule(Duration delay, void (PartitionFollower::*method)());
   void rescan();
--- a/src/arbutusdale/store/partition_follower.cpp
+++ b/src/arbutusdale/store/partition_follower.cpp
@@ -118,9 +118,7 @@
         .add("partition", m_options.partition.index)
         .write();
   }
-  for (const Record& record : reply.records) {
-    m_listener.on_record(record);
-  }
+  deliver(reply.records);
   const bool has_records = !reply.records.empty();
   if (has_records) {
     m_read_latency += (m_timer.now() - sent - m_read_latency) / k_latency_smoothing_divisor;
@@ -144,6 +142,16 @@
   schedule(delay, &PartitionFollower::read);
 }
 
+// A reply may be overtaken by one that was sent later; its records must not replace newer ones.
+void PartitionFollower::deliver(const std::vector<Record>& records) {
+  for (const Record& record : records) {
+    if (record.offset < m_next_offset) {
+      continue;
+    }
+    m_listener.on_record(record);
+  }
+}
+
 void PartitionFollower::catch_up() {
   if (!m_loaded) {
     return;
@@ -163,9 +171,7 @@
                    });
                    return;
                  }
-                 for (const Record& record : reply->records) {
-                   m_listener.on_record(record);
-                 }
+                 deliver(reply->records);
                  m_next_offset = std::max(m_next_offset, reply->next_offset);
                  if (m_next_offset < reply->end) {
                    schedule(reply->records.empty() ? k_retry_delay : Duration::zero(),
--- a/src/arbutusdale/store/store_test.cpp
+++ b/src/arbutusdale/store/store_test.cpp
@@ -3,6 +3,7 @@
 #include "arbutusdale/store/partition_follower.hpp"
 
 #include <chrono>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -56,6 +57,33 @@
   FakeStore& m_inner;
 };
 
+/// Holds back the reply to the first read, which a later read overtakes.
+class OvertakenRead final : public MetadataStore {
+ public:
+  explicit OvertakenRead(FakeStore& inner) : m_inner(inner) {}
+  void append(AppendRequest request, AppendDone done) override {
+    m_inner.append(std::move(request), std::move(done));
+  }
+  void read(ReadRequest request, ReadDone done) override {
+    if (m_reads++ > 0) {
+      m_inner.read(std::move(request), std::move(done));
+      return;
+    }
+    m_inner.read(std::move(request), [this, done](tl::expected<ReadReply, ReadError> reply) {
+      release = [done, reply] { done(reply); };
+    });
+  }
+  void scan(Partition p, std::string after, ScanDone done) override {
+    m_inner.scan(std::move(p), std::move(after), std::move(done));
+  }
+
+  std::function<void()> release;  // delivers the reply that was held back
+
+ private:
+  FakeStore& m_inner;
+  int m_reads = 0;
+};
+
 /// Counts records.
 struct RecordCount final : PartitionListener {
   std::size_t seen = 0;
@@ -302,3 +330,24 @@
     cr_assert_eq(count.seen - before, 9U, "caught up after %zu of 9 records", count.seen - before);
   }
 }
+
+// Guards against a daemon whose view of a job falls back for good, since the reply to a read
+// arrives after that to a later one.
+Test(partition_follower, an_overtaken_reply_replaces_no_newer_record) {
+  FakeTimer timer;
+  FakeStore inner(timer);
+  OvertakenRead store(inner);
+  Collector collector;
+  inner.put(k_partition, "job", "1");
+  PartitionFollower follower(store, timer, {k_partition, 1'000, 0ms}, collector);
+  follower.start();
+  timer.advance(15ms);
+  inner.put(k_partition, "job", "2");
+  timer.advance(50ms);  // the read has returned this record, and its reply is held back
+  inner.put(k_partition, "job", "3");
+  follower.catch_up();
+  timer.advance(50ms);
+  cr_assert_eq(collector.values["job"], "3");
+  store.release();
+  cr_assert_eq(collector.values["job"], "3");
+}
