End the failure of a writer when the store's count confirms its batch

What callers saw: nothing is shown; a submission refused by a daemon whose store is well.

Cause: a batch that is confirmed only by the number which the store expects next left the writer marked as failing, and the writes that queue behind the next append were refused at once. Found by review.

Change: such a confirmation ends the failure, and a reply that does not fit its batch begins one, so that the batch can be abandoned in the end.

Measured: append_numbers/a_number_that_is_behind_the_store_ends_the_failure fails without the change and passes with it.

--- a/include/arbutusdale/store/group_commit.hpp
+++ b/include/arbutusdale/store/group_commit.hpp
@@ -80,6 +80,8 @@
   void send_batch();
   void on_reply(const tl::expected<AppendReply, AppendError>& reply, TimePoint sent);
   void on_error(const AppendError& error, TimePoint sent);
+  void note_lost();
+  void note_regained();
   /// The store's numbers and this writer's differ, so that the fate of the batch is unknown.
   void on_count_mismatch(const std::string& message);
   /// False for the reply to an earlier append, or to one with another number of records.
--- a/src/arbutusdale/store/append_numbers_test.cpp
+++ b/src/arbutusdale/store/append_numbers_test.cpp
@@ -173,6 +173,23 @@
   cr_assert(leader.outcomes["third"] == CommitOutcome::fenced);
 }
 
+// Guards against writes that are refused while the store takes them, after a batch whose only
+// confirmation was that the store expects the next number.
+Test(append_numbers, a_number_that_is_behind_the_store_ends_the_failure) {
+  FakeTimer timer;
+  FakeStore store(timer);
+  Writer writer(store, timer);
+  store.lost_replies = 1;
+  store.forgets_replies = true;
+  writer.write("first");
+  writer.run(2s);
+  cr_assert(writer.is_stored("first"));
+  writer.write("second");
+  writer.write("third");
+  writer.run(1s);
+  cr_assert(writer.is_stored("second") && writer.is_stored("third"));
+}
+
 // Guards against a batch that the store can't take, which would hold up all later writes.
 Test(append_numbers, a_batch_that_is_never_settled_is_abandoned) {
   FakeTimer timer;
--- a/src/arbutusdale/store/fake_store_test.hpp
+++ b/src/arbutusdale/store/fake_store_test.hpp
@@ -57,6 +57,7 @@
   int false_refusals = 0;      // number of appends that are applied and answered as refused
   int unreadable_replies = 0;  // number of appends that are not applied and answered with nonsense
   std::optional<AppendReply> wrong_reply;  // to the next append, which is not applied
+  bool forgets_replies = false;            // answers a repeat with the number that it expects
   bool repeats_ignore_epoch = false;       // an append with a known number is a repeat in any epoch
   int late_appends = 0;  // number of appends that get no reply and are applied after `late_by`
   Duration late_by = std::chrono::seconds{3};
@@ -207,7 +208,7 @@
       }
       if (request.stamp->epoch == producer.epoch || repeats_ignore_epoch) {
         const auto repeat = producer.recent.find(request.stamp->sequence);
-        if (repeat != producer.recent.end()) {
+        if (repeat != producer.recent.end() && !forgets_replies) {
           return repeat->second;
         }
       }
--- a/src/arbutusdale/store/group_commit.cpp
+++ b/src/arbutusdale/store/group_commit.cpp
@@ -157,6 +157,7 @@
   if (!belongs_to_batch(*reply)) {
     ++m_failed_attempts;
     m_last_error = fmt::format("reply with offset {} and end {}", reply->first_offset, reply->end);
+    note_lost();
     on_count_mismatch(m_last_error);
     return;
   }
@@ -164,20 +165,39 @@
   // The store may confirm an earlier attempt, and other daemons count from its record.
   m_last_success_sent = m_unanswered_since.value_or(sent);
   observe::record_timing(observe::Timing::store_append, m_timer.now() - sent);
-  if (m_failing_since) {
-    EventLine(Event::dependency_regained)
-        .add("dependency", "store")
-        .add("call", "append")
-        .add("topic", m_partition.topic)
-        .add("partition", m_partition.index)
-        .add_ms("lost_for_ms", m_timer.now() - *m_failing_since)
-        .write();
-    m_failing_since.reset();
-  }
+  note_regained();
   m_last_reply = *reply;
   finish_batch(CommitOutcome::stored);
 }
 
+void GroupCommit::note_regained() {
+  if (!m_failing_since) {
+    return;
+  }
+  EventLine(Event::dependency_regained)
+      .add("dependency", "store")
+      .add("call", "append")
+      .add("topic", m_partition.topic)
+      .add("partition", m_partition.index)
+      .add_ms("lost_for_ms", m_timer.now() - *m_failing_since)
+      .write();
+  m_failing_since.reset();
+}
+
+void GroupCommit::note_lost() {
+  if (m_failing_since) {
+    return;
+  }
+  m_failing_since = m_timer.now();
+  EventLine(Event::dependency_lost)
+      .add("dependency", "store")
+      .add("call", "append")
+      .add("topic", m_partition.topic)
+      .add("partition", m_partition.index)
+      .add("error", m_last_error)
+      .write();
+}
+
 bool GroupCommit::belongs_to_batch(const AppendReply& reply) const {
   std::size_t entries = 0;
   for (const Write& write : m_batch) {
@@ -223,16 +243,7 @@
 void GroupCommit::on_error(const AppendError& error, TimePoint sent) {
   ++m_failed_attempts;
   m_last_error = error.message;
-  if (!m_failing_since) {
-    m_failing_since = m_timer.now();
-    EventLine(Event::dependency_lost)
-        .add("dependency", "store")
-        .add("call", "append")
-        .add("topic", m_partition.topic)
-        .add("partition", m_partition.index)
-        .add("error", error.message)
-        .write();
-  }
+  note_lost();
   switch (error.reason) {
     case AppendFailure::fenced:
       m_fenced = true;
@@ -241,6 +252,7 @@
       return;
     case AppendFailure::out_of_sequence:
       if (m_maybe_stored && error.position == m_sequence + 1) {
+        note_regained();
         finish_batch(CommitOutcome::stored);
         return;
       }
