Test that a new epoch begins with a new number

Cause: the postmortem said that each of the three rules which the review had found without a test has one. For the third, the new number of a new epoch, that was not so: no case of append_numbers ran with a store that compares numbers without their epochs.

Change: a case that does. No product code changes.

Measured: store_test passes, 23 of 23; without the new number, a_new_epoch_begins_with_a_new_number fails and the other 22 pass.

--- a/src/arbutusdale/store/append_numbers_test.cpp
+++ b/src/arbutusdale/store/append_numbers_test.cpp
@@ -86,6 +86,22 @@
   cr_assert_not(store.number_was_reused);
 }
 
+// The same, when the store compares numbers without their epochs.
+Test(append_numbers, a_new_epoch_begins_with_a_new_number) {
+  FakeTimer timer;
+  FakeStore store(timer);
+  store.repeats_ignore_epoch = true;
+  Writer writer(store, timer);
+  store.false_refusals = 3;
+  writer.write("first");
+  writer.run(400ms);
+  cr_assert(writer.outcomes["first"] == CommitOutcome::refused);
+  writer.write("second");
+  writer.run(1s);
+  cr_assert(writer.is_stored("second"));
+  cr_assert(records_of(store, timer).contains("second"));
+}
+
 // The same, when the batch is sent again without the write whose deadline has passed.
 Test(append_numbers, a_batch_that_lost_a_write_has_a_new_number) {
   FakeTimer timer;
