--- a/src/arbutusdale/daemon/daemon_main.cpp
+++ b/src/arbutusdale/daemon/daemon_main.cpp
@@ -1,4 +1,5 @@
 // Main program of the entry daemon, arbutusdaled.
+#include "arbutusdale/observe/build_info.hpp"
 #include "arbutusdale/observe/logging.hpp"
 
 #include <csignal>
@@ -56,7 +57,7 @@
       std::fputs(daemon::usage().c_str(), stdout);
       return EXIT_SUCCESS;
     case daemon::Action::version:
-      std::puts("arbutusdaled " ARBUTUSDALE_VERSION);
+      std::printf("arbutusdaled %s\n", observe::describe(observe::build_info()).c_str());
       return EXIT_SUCCESS;
     case daemon::Action::check:
       std::puts("settings are valid");
--- a/src/arbutusdale/daemon/daemon_metrics.cpp
+++ b/src/arbutusdale/daemon/daemon_metrics.cpp
@@ -1,6 +1,8 @@
 // Names and help texts of the node's metrics; see docs/operations.md.
 #include "daemon_metrics.hpp"
 
+#include "arbutusdale/observe/build_info.hpp"
+
 #include <string>
 
 namespace arbutusdale::daemon {
@@ -55,6 +57,7 @@
   set("arbutusdale_workers_unreachable", "Workers whose agent does not answer",
       batch.workers_unreachable);
   set("arbutusdale_workers_quarantined", "Workers in quarantine", batch.quarantined);
+  observe::publish_build_info(registry);
   publish_stream("global", figures.global, registry);
   publish_stream("domain", figures.domain, registry);
 }
