Build the tests of the store with -O3

Cause: at -O3, g++ 12 reports a false overlap (-Wrestrict) for a literal that is put in front of a temporary string, and warnings are errors.

Change: that string is formatted. The test is the same.

Result: store_test.cpp compiles with the flags of RelWithDebInfo and -O3, which it didn't before. The rest of the tree was not built with -O3 here.

--- a/src/arbutusdale/store/store_test.cpp
+++ b/src/arbutusdale/store/store_test.cpp
@@ -10,6 +10,7 @@
 
 #include "fake_store_test.hpp"
 #include <criterion/criterion.h>
+#include <fmt/format.h>
 
 using namespace arbutusdale;
 using namespace arbutusdale::store;
@@ -320,7 +321,7 @@
   timer.advance(100ms);
   const std::size_t before = count.seen;
   for (int i = 0; i < 9; ++i) {
-    inner.put(partition, "k" + std::to_string(i), "1");
+    inner.put(partition, fmt::format("k{}", i), "1");
   }
   timer.advance(6ms);  // the pending read has returned the first two
   const TimePoint began = timer.now();
