Send calls of the daemon to the platform again only on request

Cause: the engine of arbutusdaled let libcurl send each call again on a new connection when a reused one closed before the response, but for appends and starts. Acquire, renew, checkpoint, throttle, stop and acknowledge were so executed twice behind the daemon's back, and the refusal of the second copy was reported as "not run" of the command.

Change: HttpCall::is_repeatable, false by default; without it the second copy is aborted and the call ends with "may have run". Log reads, the VM list and reports ask for it: they change nothing. All commands have senders that try again by themselves. Appends and starts keep their new connections.

--- a/include/arbutusdale/backplane/http_engine.hpp
+++ b/include/arbutusdale/backplane/http_engine.hpp
@@ -22,10 +22,13 @@
   std::string url;
   std::optional<std::string> body;  // POST with this body if set, GET otherwise
   Duration timeout{};               // from submission to the last byte of the response
-  /// Uses a new connection that is closed after the call. libcurl silently retries a request if a
-  /// reused connection closes before the first byte of the response, so calls that are not
-  /// idempotent, or that need an exact verdict, must set this.
+  /// Uses a new connection that is closed after the call, so that the call does not fail because
+  /// the server has closed an idle one.
   bool fresh_connection = false;
+  /// When a reused connection closes before the first byte of the response, libcurl sends the
+  /// request again on a new one. Otherwise the call fails with `may_have_run`. The outcome tells of
+  /// the last copy only: its refusal doesn't prove that an earlier copy was not carried out.
+  bool is_repeatable = false;
   std::function<void(Result<std::string>)> done;  // receives the body of a 200 response
 };
 
--- a/src/arbutusdale/backplane/http_backplane.cpp
+++ b/src/arbutusdale/backplane/http_backplane.cpp
@@ -63,6 +63,7 @@
     call.url =
         stream_url(stream) + "?from=" + std::to_string(from) + "&limit=" + std::to_string(limit);
     call.timeout = m_timeout;
+    call.is_repeatable = true;
     call.done = [done = std::move(done)](Result<std::string> body) {
       done(parse<proto::platform::ReadReply>(std::move(body)));
     };
@@ -88,6 +89,7 @@
     HttpCall call;
     call.url = "http://" + m_address + "/vms";
     call.timeout = m_timeout;
+    call.is_repeatable = true;
     call.done = [done = std::move(done)](Result<std::string> body) {
       done(parse<proto::platform::VmListReply>(std::move(body)));
     };
@@ -113,13 +115,16 @@
     post(agent, "renew", request, done);
   }
   void report(const AgentAddress& agent, Reply done) override {
-    submit(agent, "report", std::nullopt, std::move(done));
+    HttpCall call = make_call(agent, "report", std::move(done));
+    call.is_repeatable = true;
+    m_engine.submit(std::move(call));
   }
   void start(const AgentAddress& agent, const proto::platform::StartRequest& request,
              Reply done) override {
-    // After the verdict `not_run`, the task can be placed on another worker at once. A silent retry
-    // by libcurl on a reused connection would make the verdict inexact.
-    submit(agent, "start", request.SerializeAsString(), std::move(done), true);
+    HttpCall call = make_call(agent, "start", std::move(done));
+    call.body = request.SerializeAsString();
+    call.fresh_connection = true;
+    m_engine.submit(std::move(call));
   }
   void checkpoint(const AgentAddress& agent, const proto::platform::AttemptRequest& request,
                   Reply done) override {
@@ -139,23 +144,24 @@
   }
 
  private:
+  /// Commands are never repeated: a copy may take effect after a later command, and a refusal of
+  /// the second copy would hide that the first was carried out.
   template <typename Message>
-  void post(const AgentAddress& agent, const char* command, const Message& request,
-            const Reply& done) {
-    submit(agent, command, request.SerializeAsString(), done);
+  void post(const AgentAddress& agent, const char* command, const Message& request, Reply done) {
+    HttpCall call = make_call(agent, command, std::move(done));
+    call.body = request.SerializeAsString();
+    m_engine.submit(std::move(call));
   }
 
-  void submit(const AgentAddress& agent, const char* command, std::optional<std::string> body,
-              Reply done, bool fresh_connection = false) {
+  [[nodiscard]] HttpCall make_call(const AgentAddress& agent, const char* command,
+                                   Reply done) const {
     HttpCall call;
     call.url = "http://" + agent.address + "/agent/" + percent_encode(agent.worker) + "/" + command;
-    call.body = std::move(body);
     call.timeout = m_timeout;
-    call.fresh_connection = fresh_connection;
     call.done = [done = std::move(done)](Result<std::string> response) {
       done(parse<proto::platform::AgentReply>(std::move(response)));
     };
-    m_engine.submit(std::move(call));
+    return call;
   }
 
   HttpEngine& m_engine;
--- a/src/arbutusdale/backplane/http_engine.cpp
+++ b/src/arbutusdale/backplane/http_engine.cpp
@@ -73,7 +73,11 @@
 // silent retry. A call for which it was never invoked has sent no byte of the request.
 int on_request(void* user, char* /*remote_ip*/, char* /*local_ip*/, int /*remote_port*/,
                int /*local_port*/) {
-  static_cast<ActiveCall*>(user)->request_began = true;
+  auto& active = *static_cast<ActiveCall*>(user);
+  if (active.request_began && !active.call.is_repeatable) {
+    return CURL_PREREQFUNC_ABORT;
+  }
+  active.request_began = true;
   return CURL_PREREQFUNC_OK;
 }
 
--- a/src/arbutusdale/backplane/http_engine_test.cpp
+++ b/src/arbutusdale/backplane/http_engine_test.cpp
@@ -3,10 +3,12 @@
 
 #include <atomic>
 #include <cstdlib>
+#include <functional>
 #include <future>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -190,6 +192,84 @@
   cr_assert_eq(server.requests(), 2);
 }
 
+// Guards against libcurl's silent retry of a command to an agent. The server executes the command
+// and closes the reused connection; the answer to a second copy would be taken for the fate of
+// both.
+Test(http_engine, commands_to_agents_are_never_repeated) {
+  const std::vector<std::function<void(WorkerAgents&, const AgentAddress&, WorkerAgents::Reply)>>
+      commands{
+          [](auto& agents, const auto& agent, auto done) { agents.acquire(agent, {}, done); },
+          [](auto& agents, const auto& agent, auto done) { agents.renew(agent, {}, done); },
+          [](auto& agents, const auto& agent, auto done) { agents.start(agent, {}, done); },
+          [](auto& agents, const auto& agent, auto done) { agents.checkpoint(agent, {}, done); },
+          [](auto& agents, const auto& agent, auto done) { agents.throttle(agent, {}, done); },
+          [](auto& agents, const auto& agent, auto done) { agents.stop(agent, {}, done); },
+          [](auto& agents, const auto& agent, auto done) { agents.acknowledge(agent, {}, done); },
+      };
+  for (std::size_t i = 0; i < commands.size(); ++i) {
+    // Answers the report, executes the command, and refuses a second copy.
+    const RawServer server([](int number) {
+      return number == 0   ? http("200 OK", "")
+             : number == 1 ? std::string()
+                           : http("503 Service Unavailable", "");
+    });
+    const auto engine = inline_engine();
+    const auto agents = make_http_worker_agents(*engine, k_long);
+    const AgentAddress agent{"vm-1", server.address()};
+    std::promise<bool> reported;
+    agents->report(agent, [&](auto result) { reported.set_value(result.has_value()); });
+    cr_assert(reported.get_future().get());
+    std::promise<std::optional<Verdict>> commanded;
+    commands[i](*agents, agent, [&](auto result) {
+      commanded.set_value(result ? std::nullopt : std::optional(result.error().verdict));
+    });
+    cr_expect(commanded.get_future().get() == Verdict::may_have_run, "command %zu", i);
+    cr_expect_eq(server.requests(), 2, "command %zu was sent twice", i);
+  }
+}
+
+// Guards against a call that is sent again although its sender has not asked for it.
+Test(http_engine, a_call_is_repeated_only_on_request) {
+  const RawServer server(
+      [](int number) { return number % 2 == 0 ? http("200 OK", "") : std::string(); });
+  const auto engine = inline_engine();
+  const auto call = [&] {
+    HttpCall get;
+    get.url = "http://" + server.address() + "/";
+    get.timeout = k_long;
+    std::promise<bool> answered;
+    get.done = [&](auto result) { answered.set_value(result.has_value()); };
+    engine->submit(std::move(get));
+    return answered.get_future().get();
+  };
+  cr_assert(call());
+  cr_assert_not(call());
+  cr_assert_eq(server.requests(), 2);
+}
+
+// Guards against reads that fail because the server has closed an idle connection.
+Test(http_engine, reads_are_repeated) {
+  const RawServer server(
+      [](int number) { return number % 2 == 0 ? http("200 OK", "") : std::string(); });
+  const auto engine = inline_engine();
+  const auto agents = make_http_worker_agents(*engine, k_long);
+  const auto vms = make_http_vm_list(*engine, server.address(), k_long);
+  const auto log = make_http_log(*engine, server.address(), k_long);
+  const auto succeeds = [](const auto& read) {
+    std::promise<bool> answered;
+    read([&](auto result) { answered.set_value(result.has_value()); });
+    return answered.get_future().get();
+  };
+  const auto report = [&](auto done) { agents->report({"vm-1", server.address()}, done); };
+  const auto fetch = [&](auto done) { vms->fetch(done); };
+  const auto read = [&](auto done) { log->read("global", 0, 10, done); };
+  cr_assert(succeeds(report));
+  cr_assert(succeeds(report));
+  cr_assert(succeeds(fetch));
+  cr_assert(succeeds(read));
+  cr_assert_eq(server.requests(), 7);
+}
+
 // Guards against verdicts and error codes that do not match the HTTP status of the response.
 Test(http_engine, status_decides_the_verdict) {
   const RawServer server([](int number) {
