Start suspects in groups when there are too many to start alone

Cause: after a crash, every task that had just been started on the worker is a suspect, and suspects start alone, on an eighth of the workers at a time. Each needs about 0.55 s to settle.

Change: suspects with a single crash start in groups on one worker, the smallest with which all of them start within 2.4 s, which is below the 3 s of the rule. With few suspects a group is one task, as before. If the worker of a group crashes, the crash counts for each member, and each starts alone next, so that a task that crashes its workers is still proved by its third crash and no task is given up for the crashes of its group. The number of workers that run suspects at a time is unchanged.

--- a/include/arbutusdale/sched/crash_history.hpp
+++ b/include/arbutusdale/sched/crash_history.hpp
@@ -2,6 +2,9 @@
 // worker. A crash ends every run of the worker, and most of them did not cause it. A run that had
 // been started a moment before is the likely cause; its task is then started alone on a worker, so
 // that further crashes right after its starts prove the cause and take fewer other runs with them.
+// After the crash of many workers at once, such as a lost rack, there are too many suspects to
+// start each of them alone soon. Those with a single crash are then started in groups: if the
+// worker of a group lives, all of them are cleared, and if not, each is started alone.
 #pragma once
 
 #include "arbutusdale/core/clock.hpp"
@@ -30,6 +33,7 @@
   bool isolated = false;  // no other run was started on the worker shortly before or after
   bool prompt = false;    // the worker was silent within k_prompt_crash_time after the start
   Duration age{};         // time for which the run is known to have run
+  bool grouped = false;   // no other run but those of suspects was; not stored
 };
 
 /// The crashes under the runs of one task.
@@ -45,6 +49,8 @@
 
   /// True when the task may have caused a crash. Its next run has to be isolated.
   [[nodiscard]] bool is_suspect() const;
+  /// True when a single crash makes the task a suspect, so that it may be started in a group.
+  [[nodiscard]] bool is_weak_suspect() const;
   /// True when the task is the cause of crashes, so that it must not be started again.
   [[nodiscard]] bool is_cause() const;
   /// The crashes in a row, the first ones first.
--- a/include/arbutusdale/sched/placement.hpp
+++ b/include/arbutusdale/sched/placement.hpp
@@ -33,6 +33,8 @@
   bool allows_harm = false;
   /// Allows suspects on workers on which other runs were started recently.
   bool ignores_recent_starts = false;
+  /// Allows suspects only on workers that run a group of fewer ones, unless zero.
+  std::uint32_t joins_group_below = 0;
 };
 
 /// Why a worker does not run a task now.
--- a/include/arbutusdale/sched/scheduler.hpp
+++ b/include/arbutusdale/sched/scheduler.hpp
@@ -220,6 +220,10 @@
   bool place_starved(Task& task);
   bool place_gang(Step& step);
   bool place_suspect(Task& task);
+  /// Places a suspect in a group that has begun.
+  bool place_in_group(Task& task);
+  void update_suspect_group_size();
+  [[nodiscard]] std::size_t max_isolated_workers() const;
   [[nodiscard]] bool may_isolate() const;
   void release_start_slot();
   [[nodiscard]] std::uint32_t next_run_number(const Task& task) const;
@@ -339,6 +343,9 @@
   /// Median speed of the workers with a recent sample; empty while there are too few.
   std::optional<double> m_typical_speed;
   bool m_fleet_is_idle = false;  // as of the last tick
+  /// Number of suspects that start together, as of the last tick.
+  std::uint32_t m_suspect_group_size = 1;
+  bool m_suspects_wait = false;  // a round since the last tick has examined one
   bool m_workers_loaded = false;
   bool m_jobs_caught_up = false;
   bool m_has_predecessor = false;
--- a/include/arbutusdale/sched/task_table.hpp
+++ b/include/arbutusdale/sched/task_table.hpp
@@ -27,6 +27,13 @@
   stopping,  ///< is being stopped, also after an unanswered start; its resources stay committed
 };
 
+/// What may start on the worker of a suspect's run until the run has settled.
+enum class Isolation : std::uint8_t {
+  none,     ///< anything: the run is no suspect's, or has settled
+  grouped,  ///< other suspects with a single crash, if there are many
+  alone,    ///< nothing
+};
+
 /// One attempt to execute a task on a worker.
 struct Run {
   std::uint32_t number = 0;
@@ -38,8 +45,8 @@
   bool listed = false;           // a poll reply has listed it, so it has begun on its worker
   bool stop_confirmed = false;   // the worker has answered the stop
   bool stop_in_flight = false;
-  bool settled = false;   // a serving run: the next record no longer names it as unsettled
-  bool isolated = false;  // of a suspect: nothing else starts on its worker until it has settled
+  bool settled = false;  // a serving run: the next record no longer names it as unsettled
+  Isolation isolation = Isolation::none;
   TimePoint order_sent_at{};  // the last start or stop
   TimePoint confirmed_at{};   // last confirmation of its start or stop, by an answer or a poll
   TimePoint begun_at{};       // first confirmation of its start; zero before
--- a/include/arbutusdale/sched/worker_table.hpp
+++ b/include/arbutusdale/sched/worker_table.hpp
@@ -31,7 +31,7 @@
 struct RunRef {
   Task* task = nullptr;
   std::uint32_t number = 0;
-  bool isolated = false;  // the run is isolated and has not settled
+  Isolation isolation = Isolation::none;
 };
 
 /// A start order without an answer. It may still be carried out, even by the worker's next
@@ -81,7 +81,7 @@
   TimePoint foreign_order_at{};
   TimePoint withheld_until{};  // gets no starts before, since its ends and leases are not reliable
   std::vector<jobs::TaskId> lost_tasks;  // tasks with lost runs on this worker
-  std::uint32_t isolated_runs = 0;       // no other starts are sent while there is one
+  std::uint32_t isolated_runs = 0;       // see Isolation
   TimePoint last_start_at{};             // of any task
   TimePoint reserved_until{};            // no starts but those of suspects before
 
@@ -111,10 +111,12 @@
 
   /// True when no run was started recently, so that a suspect can be isolated here.
   [[nodiscard]] bool is_quiet(TimePoint now) const;
+  /// True when it runs a group of less than `max_runs` suspects, which takes another one.
+  [[nodiscard]] bool has_open_group(std::uint32_t max_runs) const;
   /// What would be recorded if the worker had crashed under the run after its last answer.
   [[nodiscard]] CrashedRun describe_run(const Run& run) const;
 
-  void add_run(Task& task, std::uint32_t number, bool isolated = false);
+  void add_run(Task& task, std::uint32_t number, Isolation isolation = Isolation::none);
   void remove_run(const Task& task, std::uint32_t number);
   /// The run has settled, so that other tasks can be started beside it.
   void end_isolation(const Task& task, std::uint32_t number);
--- a/src/arbutusdale/sched/crash_history.cpp
+++ b/src/arbutusdale/sched/crash_history.cpp
@@ -52,6 +52,10 @@
   return recent_unsettled_crashes() > 0;
 }
 
+bool CrashHistory::is_weak_suspect() const {
+  return recent_unsettled_crashes() == 1;
+}
+
 bool CrashHistory::is_cause() const {
   if (m_runs.empty()) {
     return false;
--- a/src/arbutusdale/sched/crashing_task_fixture_test.hpp
+++ b/src/arbutusdale/sched/crashing_task_fixture_test.hpp
@@ -86,6 +86,19 @@
     return count;
   }
 
+  /// Crashes all workers that have runs at the same time, as the loss of a rack does.
+  void crash_all_with_runs() {
+    std::vector<std::string> ids;
+    for (const auto& [id, worker] : fleet.all()) {
+      if (!worker->runs.empty()) {
+        ids.push_back(id);
+      }
+    }
+    for (const std::string& id : ids) {
+      fleet.crash_and_return(id);
+    }
+  }
+
   /// Advances until another worker has crashed under a deadly task, `limit` at most. Returns false
   /// when none has.
   bool advance_to_crash(Duration limit) {
--- a/src/arbutusdale/sched/crashing_task_test.cpp
+++ b/src/arbutusdale/sched/crashing_task_test.cpp
@@ -210,3 +210,47 @@
     }
   }
 }
+
+// Guards against tasks that wait on an idle fleet since a rack was lost right after they had been
+// started there: all of them are suspects, and few suspects are started alone at a time.
+Test(crashing_task, tasks_of_a_lost_rack_start_again_at_once) {
+  constexpr std::uint32_t k_jobs = 50;
+  CrashFixture f(16, 16'000);
+  f.lead();
+  f.timer.advance(1s);
+  for (std::uint32_t i = 1; i <= k_jobs; ++i) {
+    f.submit_serving(i, 1);
+  }
+  f.timer.advance(300ms);
+  f.crash_all_with_runs();
+  // The crashes are known when the workers have returned and were polled.
+  f.timer.advance(f.fleet.return_delay + 200ms);
+  f.timer.advance(3s);
+  for (std::uint32_t i = 1; i <= k_jobs; ++i) {
+    cr_expect_eq(f.running_tasks(i), 1U, "job %u", i);
+  }
+  f.expect_nothing_doubled();
+}
+
+// Guards against a deadly task that hides among the tasks of a lost rack, and against tasks of the
+// rack that are given up for its crashes.
+Test(crashing_task, is_given_up_among_the_tasks_of_a_lost_rack) {
+  constexpr std::uint32_t k_jobs = 50;
+  CrashFixture f(16, 16'000);
+  f.lead();
+  f.timer.advance(1s);
+  for (std::uint32_t i = 1; i <= k_jobs; ++i) {
+    f.submit_serving(i, 1);
+  }
+  f.submit_deadly(k_deadly, 1);
+  f.timer.advance(5ms);
+  cr_assert(f.advance_to_crash(2s));
+  f.crash_all_with_runs();
+  f.timer.advance(30s);
+  f.expect_given_up({k_deadly});
+  cr_expect_leq(f.fleet.crashes, 3U, "%lu workers crashed", f.fleet.crashes);
+  for (std::uint32_t i = 1; i <= k_jobs; ++i) {
+    cr_expect_eq(f.running_tasks(i), 1U, "job %u", i);
+  }
+  f.expect_nothing_doubled();
+}
--- a/src/arbutusdale/sched/placement.cpp
+++ b/src/arbutusdale/sched/placement.cpp
@@ -78,6 +78,9 @@
   if (!task.crashes.is_suspect()) {
     return view.now >= worker.reserved_until;
   }
+  if (view.joins_group_below > 0) {
+    return worker.has_open_group(view.joins_group_below);
+  }
   return view.ignores_recent_starts || worker.is_quiet(view.now);
 }
 
@@ -118,9 +121,6 @@
   if (worker.is_withheld(now)) {
     return Exclusion::withheld;
   }
-  if (worker.isolated_runs > 0) {
-    return Exclusion::suspect;
-  }
   if (now < worker.quarantined_until) {
     return Exclusion::quarantined;
   }
@@ -143,7 +143,8 @@
   if (by_worker != Exclusion::none) {
     return by_worker;
   }
-  if (!may_start_beside_suspects(view, worker, task)) {
+  const bool is_isolated = worker.isolated_runs > 0 && view.joins_group_below == 0;
+  if (is_isolated || !may_start_beside_suspects(view, worker, task)) {
     return Exclusion::suspect;
   }
   const std::string& label = step.spec->required_label();
@@ -163,7 +164,7 @@
 }  // namespace
 
 bool accepts_tasks(const Worker& worker, const std::string& service, TimePoint now) {
-  return worker_exclusion(worker, service, now) == Exclusion::none;
+  return worker.isolated_runs == 0 && worker_exclusion(worker, service, now) == Exclusion::none;
 }
 
 bool accepts_image(const PlacementView& view, const Worker& worker, ImageId image) {
--- a/src/arbutusdale/sched/scheduler_crashes.cpp
+++ b/src/arbutusdale/sched/scheduler_crashes.cpp
@@ -90,9 +90,9 @@
   if (crashed_before && victims.empty()) {
     m_record_first_until = m_timer.now() + k_record_first_time;
   }
-  // An isolated run that had not settled explains the crash without the others.
+  // A suspect's run that had not settled explains the crash without the others.
   const bool is_explained = std::any_of(victims.begin(), victims.end(), [](const auto& victim) {
-    return victim.run.isolated && !victim.run.settled;
+    return (victim.run.isolated || victim.run.grouped) && !victim.run.settled;
   });
   for (const CrashVictim& victim : victims) {
     if (!is_explained || !victim.run.settled) {
@@ -209,7 +209,7 @@
     Task* started = job == nullptr ? nullptr : job->find_task(id);
     const Run* found = started == nullptr ? nullptr : started->find_run(number);
     Worker* polled = found == nullptr ? nullptr : &m_workers.at(slot);
-    if (polled == nullptr || !found->isolated || polled->unanswered_polls > 0) {
+    if (polled == nullptr || found->isolation == Isolation::none || polled->unanswered_polls > 0) {
       return;
     }
     if (polled->poll_in_flight) {
@@ -235,10 +235,10 @@
     task.crashes.clear();
     mark_started(*task.step->job);
   }
-  if (!run.isolated || !present.settled) {
+  if (run.isolation == Isolation::none || !present.settled) {
     return;
   }
-  run.isolated = false;
+  run.isolation = Isolation::none;
   worker.end_isolation(task, run.number);
   task.crashes.clear_suspicion();
   mark_started(*task.step->job);
--- a/src/arbutusdale/sched/scheduler_orders.cpp
+++ b/src/arbutusdale/sched/scheduler_orders.cpp
@@ -33,6 +33,14 @@
     {OrderFailure::unknown, "unknown"},
 }};
 
+Isolation isolation_of(const Task& task) {
+  if (!task.crashes.is_suspect()) {
+    return Isolation::none;
+  }
+  const bool joins_others = task.crashes.is_weak_suspect() && !task.step->spec->gang();
+  return joins_others ? Isolation::grouped : Isolation::alone;
+}
+
 }  // namespace
 
 void Scheduler::start_run(Task& task, Worker& worker, std::uint32_t number) {
@@ -47,14 +55,14 @@
   Run run;
   run.number = number;
   run.worker = worker.slot;
-  run.isolated = task.crashes.is_suspect();
+  run.isolation = isolation_of(task);
   run.checkpoint = step.spec->gang() ? step.gang_checkpoint() : task.checkpoint;
   run.order_sent_at = now;
   run.progressed_at = now;
   task.runs.push_back(run);
   task.last_run = number;
   task.phase = TaskPhase::active;
-  worker.add_run(task, number, run.isolated);
+  worker.add_run(task, number, run.isolation);
   worker.last_start_at = now;
 
   observe::record_timing(observe::Timing::start_wait, now - task.ready_at);
@@ -69,7 +77,7 @@
       .add_ms("waited_ms", now - task.ready_at)
       .add("free_cpu_millis", minus(worker.entry.capacity, worker.committed).cpu_millis)
       .add("idle_cpu_millis", worker.idle_cpu_millis())
-      .add("isolated", run.isolated ? 1 : 0)
+      .add("isolated", run.isolation == Isolation::alone ? 1 : 0)
       .write();
   if (is_recorded_first(task)) {
     m_pending_starts.push_back({job.task_id(task), number});
@@ -101,7 +109,7 @@
 }
 
 void Scheduler::send_start(Task& task, Run& run) {
-  if (!std::exchange(run.sent, true) && run.isolated) {
+  if (!std::exchange(run.sent, true) && run.isolation != Isolation::none) {
     poll_when_settled(m_workers.at(run.worker), task, run);
   }
   run.start_in_flight = true;
--- a/src/arbutusdale/sched/scheduler_placement.cpp
+++ b/src/arbutusdale/sched/scheduler_placement.cpp
@@ -28,6 +28,11 @@
 constexpr std::size_t k_silent_isolated_factor = 2;
 // A suspect that has waited this long for a worker without recent starts gets one reserved.
 constexpr Duration k_reservation_delay = std::chrono::milliseconds{200};
+// An isolated start is stored, answered, and has settled within this time.
+constexpr Duration k_isolation_time = k_settling_time + std::chrono::milliseconds{100};
+// Within this time all suspects with a single crash are started, in groups if there are many. It is
+// shorter than the time after which a job counts as stuck.
+constexpr Duration k_max_suspect_wait = 4 * k_isolation_time;
 constexpr Duration k_reservation_time = k_settling_time + std::chrono::milliseconds{200};
 
 }  // namespace
@@ -140,6 +145,7 @@
     return;
   }
   round.examined_suspects.insert(&task);
+  m_suspects_wait = true;
   if (place_suspect(task)) {
     return;
   }
@@ -211,30 +217,78 @@
   return true;
 }
 
+std::size_t Scheduler::max_isolated_workers() const {
+  const auto& workers = m_workers.all();
+  const auto registered = std::count_if(workers.begin(), workers.end(),
+                                        [](const auto& worker) { return worker->registered; });
+  const auto share =
+      static_cast<std::size_t>(static_cast<double>(registered) * k_max_isolated_share);
+  return std::max(share, k_min_isolated_workers);
+}
+
 // A worker that is silent under a suspect may have crashed, so it takes none of the places of those
 // that still answer. Counted together, they bound the share of the fleet that suspects may crash.
 bool Scheduler::may_isolate() const {
-  std::size_t registered = 0;
   std::size_t isolated = 0;
   std::size_t silent = 0;
   for (const auto& worker : m_workers.all()) {
-    registered += worker->registered ? 1 : 0;
     if (worker->isolated_runs == 0) {
       continue;
     }
     const bool is_silent = worker->silent_since != TimePoint{};
     ++(is_silent ? silent : isolated);
   }
-  const auto share =
-      static_cast<std::size_t>(static_cast<double>(registered) * k_max_isolated_share);
-  const std::size_t limit = std::max(share, k_min_isolated_workers);
+  const std::size_t limit = max_isolated_workers();
   return isolated < limit && isolated + silent < limit * k_silent_isolated_factor;
 }
 
+// The smallest groups with which every suspect starts in time: a task that crashes the worker of
+// its group takes the others with it.
+void Scheduler::update_suspect_group_size() {
+  m_suspect_group_size = 1;
+  if (!std::exchange(m_suspects_wait, false)) {
+    return;
+  }
+  const TimePoint now = m_timer.now();
+  std::size_t waiting = 0;
+  Duration longest_wait{};
+  m_ready.for_each_step([&](const Step& step, std::size_t) {
+    for (const Task& task : step.tasks) {
+      if (task.phase != TaskPhase::waiting || !task.crashes.is_weak_suspect()) {
+        continue;
+      }
+      ++waiting;
+      longest_wait = std::max(longest_wait, now - task.ready_at);
+    }
+  });
+  const auto rounds_left = (k_max_suspect_wait - longest_wait) / k_isolation_time;
+  const std::size_t rounds = rounds_left > 1 ? static_cast<std::size_t>(rounds_left) : 1;
+  const std::size_t starts_alone = rounds * max_isolated_workers();
+  m_suspect_group_size = static_cast<std::uint32_t>((waiting + starts_alone - 1) / starts_alone);
+}
+
+bool Scheduler::place_in_group(Task& task) {
+  if (m_suspect_group_size <= 1 || !task.crashes.is_weak_suspect()) {
+    return false;
+  }
+  PlacementView view = placement_view();
+  view.allows_harm = is_starved(task);
+  view.joins_group_below = m_suspect_group_size;
+  const auto slot = choose_worker(view, task);
+  if (!slot) {
+    return false;
+  }
+  start_run(task, m_workers.at(*slot), next_run_number(task));
+  return true;
+}
+
 // Starts a task that may have crashed a worker where nothing else was started recently. Reserves
 // such a worker if the fleet is too busy to have one.
 bool Scheduler::place_suspect(Task& task) {
   const TimePoint now = m_timer.now();
+  if (place_in_group(task)) {
+    return true;
+  }
   if (!may_isolate()) {
     return false;
   }
--- a/src/arbutusdale/sched/worker_table.cpp
+++ b/src/arbutusdale/sched/worker_table.cpp
@@ -50,12 +50,19 @@
   return isolated_runs == 0 && now - last_start_at >= k_settling_time;
 }
 
+bool Worker::has_open_group(std::uint32_t max_runs) const {
+  return isolated_runs > 0 && isolated_runs < max_runs &&
+         std::none_of(runs.begin(), runs.end(),
+                      [](const RunRef& run) { return run.isolation == Isolation::alone; });
+}
+
 CrashedRun Worker::describe_run(const Run& run) const {
   CrashedRun crashed;
   crashed.number = run.number;
   crashed.worker = entry.id;
   crashed.begun = run.begun_at != TimePoint{};
-  crashed.isolated = run.isolated;
+  crashed.isolated = run.isolation == Isolation::alone;
+  crashed.grouped = run.isolation == Isolation::grouped;
   if (crashed.begun) {
     crashed.age = std::max(last_alive - run.begun_at, Duration::zero());
     crashed.settled = crashed.age >= k_settling_time;
@@ -65,10 +72,10 @@
   return crashed;
 }
 
-void Worker::add_run(Task& task, std::uint32_t number, bool isolated) {
+void Worker::add_run(Task& task, std::uint32_t number, Isolation isolation) {
   const Step& step = *task.step;
-  runs.push_back({&task, number, isolated});
-  isolated_runs += isolated ? 1 : 0;
+  runs.push_back({&task, number, isolation});
+  isolated_runs += isolation != Isolation::none ? 1 : 0;
   committed = plus(committed, reserved_resources(step));
   serving_cpu_millis += step.spec->long_running() ? step.need.cpu_millis : 0;
   opportunistic_cpu_millis += step.spec->opportunistic() ? step.need.cpu_millis : 0;
@@ -82,7 +89,7 @@
     return;
   }
   const Step& step = *task.step;
-  isolated_runs -= found->isolated ? 1 : 0;
+  isolated_runs -= found->isolation != Isolation::none ? 1 : 0;
   runs.erase(found);
   committed = minus(committed, reserved_resources(step));
   serving_cpu_millis -= step.spec->long_running() ? step.need.cpu_millis : 0;
@@ -91,10 +98,10 @@
 
 void Worker::end_isolation(const Task& task, std::uint32_t number) {
   for (RunRef& run : runs) {
-    if (run.task != &task || run.number != number || !run.isolated) {
+    if (run.task != &task || run.number != number || run.isolation == Isolation::none) {
       continue;
     }
-    run.isolated = false;
+    run.isolation = Isolation::none;
     --isolated_runs;
   }
 }
