Refuse a job whose record the store does not take

Cause: the size of a submission's record was not checked. The store refuses its append each time, the caller is answered 504, and the daemon's other writes wait behind it.

An append keeps room for the daemon's presence record.

Records of a leader (progress, roster) are not measured.

--- a/include/arbutusdale/fleet/job_service.hpp
+++ b/include/arbutusdale/fleet/job_service.hpp
@@ -8,6 +8,7 @@
 #include "arbutusdale/jobs/job_table.hpp"
 #include "arbutusdale/store/group_commit.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -33,7 +34,12 @@
   /// fraction of a core that this daemon may use.
   JobService(store::MetadataStore& store, Timer& timer, const jobs::JobTable& jobs,
              const JobFollowers& followers, const std::string& daemon,
-             const std::string& incarnation, double cpu_share);
+             const std::string& incarnation, double cpu_share,
+             const store::RecordLimits& limits = {});
+
+  /// Largest content of a submission's record, in bytes, that the store takes. A larger one must
+  /// not be submitted: its append would never succeed, and would hold up those behind it.
+  [[nodiscard]] std::size_t max_submission_bytes() const { return m_max_submission_bytes; }
 
   /// Stores a job; a job that is already known counts as stored.
   void submit(const jobs::JobId& id, const jobs::JobSubmitted& record, TimePoint deadline,
@@ -64,6 +70,7 @@
   std::vector<std::unique_ptr<store::GroupCommit>> m_writers;  // one for each job partition
   const std::string m_daemon;
   const std::uint32_t m_cpu_millis;
+  const std::size_t m_max_submission_bytes;
   std::optional<TimePoint> m_presence_written_at;
   std::size_t m_own_partition;  // index of the writer for submissions and cancellations
 };
--- a/include/arbutusdale/fleet/node_dependencies.hpp
+++ b/include/arbutusdale/fleet/node_dependencies.hpp
@@ -22,6 +22,7 @@
   std::string daemon;       // name; at most one process with it is alive
   std::string incarnation;  // unique among all processes that ever wrote to the store
   double cpu_share = 1;     // fraction of a core that this process may use
+  store::RecordLimits record_limits = {};
   /// Most shards that this daemon proposes when the fleet starts for the first time.
   std::uint32_t max_shards = jobs::k_max_shards;
 };
--- a/include/arbutusdale/net/http_status.hpp
+++ b/include/arbutusdale/net/http_status.hpp
@@ -10,6 +10,7 @@
 inline constexpr int k_http_conflict = 409;
 inline constexpr int k_http_gone = 410;
 inline constexpr int k_http_precondition_failed = 412;
+inline constexpr int k_http_too_large = 413;
 inline constexpr int k_http_misdirected = 421;
 inline constexpr int k_http_too_many_requests = 429;
 inline constexpr int k_http_unavailable = 503;
--- a/include/arbutusdale/store/group_commit.hpp
+++ b/include/arbutusdale/store/group_commit.hpp
@@ -49,7 +49,7 @@
   GroupCommit(MetadataStore& store, Timer& timer, Partition partition, std::string producer,
               std::uint64_t epoch, std::uint64_t first_sequence,
               std::optional<FailFastPolicy> fail_fast = std::nullopt,
-              EpochPolicy epoch_policy = EpochPolicy::fixed);
+              EpochPolicy epoch_policy = EpochPolicy::fixed, const RecordLimits& limits = {});
   GroupCommit(const GroupCommit&) = delete;
   GroupCommit& operator=(const GroupCommit&) = delete;
   ~GroupCommit();
@@ -100,6 +100,7 @@
   const std::string m_producer;
   const std::optional<FailFastPolicy> m_fail_fast;  // empty: writes wait until their deadlines
   const EpochPolicy m_epoch_policy;
+  const std::size_t m_max_batch_bytes;
   std::shared_ptr<bool> m_alive;
 
   std::uint64_t m_epoch;
--- a/include/arbutusdale/store/metadata_store.hpp
+++ b/include/arbutusdale/store/metadata_store.hpp
@@ -4,6 +4,7 @@
 
 #include "arbutusdale/core/clock.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -24,6 +25,20 @@
   std::string value;  // empty: a tombstone, which deletes the key
 };
 
+/// Sizes that the store takes, in bytes.
+struct RecordLimits {
+  std::size_t record = 262'144;    // content of one record
+  std::size_t append = 2'097'152;  // all records of an append, with their lengths
+};
+
+inline constexpr std::size_t k_key_length_bytes = 1;     // before the key, in a record's content
+inline constexpr std::size_t k_record_length_bytes = 4;  // before the content
+
+/// Size of the content of a record.
+inline std::size_t content_bytes(const KeyedValue& entry) {
+  return k_key_length_bytes + entry.key.size() + entry.value.size();
+}
+
 struct Record {
   std::uint64_t offset = 0;
   KeyedValue entry;
--- a/src/arbutusdale/fleet/job_service.cpp
+++ b/src/arbutusdale/fleet/job_service.cpp
@@ -3,6 +3,7 @@
 
 #include "arbutusdale/jobs/daemon_presence.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace arbutusdale::fleet {
@@ -19,21 +20,31 @@
 // Reads wait up to a second for a record, so a job table older than this means that they fail.
 constexpr Duration k_max_staleness = std::chrono::milliseconds{2'500};
 
+// Space in an append with a submission for the lengths and for the daemon's presence record.
+constexpr std::size_t k_append_reserve_bytes = 1'024;
+
+std::size_t max_submission_bytes_of(const store::RecordLimits& limits) {
+  const std::size_t in_append = limits.append - std::min(limits.append, k_append_reserve_bytes);
+  return std::min(limits.record, in_append);
+}
+
 }  // namespace
 
 JobService::JobService(store::MetadataStore& store, Timer& timer, const jobs::JobTable& jobs,
                        const JobFollowers& followers, const std::string& daemon,
-                       const std::string& incarnation, double cpu_share)
+                       const std::string& incarnation, double cpu_share,
+                       const store::RecordLimits& limits)
     : m_timer(timer),
       m_jobs(jobs),
       m_followers(followers),
       m_daemon(daemon),
       m_cpu_millis(static_cast<std::uint32_t>(cpu_share * k_millis)),
+      m_max_submission_bytes(max_submission_bytes_of(limits)),
       m_own_partition(jobs::job_partition_of(daemon)) {
   for (const store::Partition& partition : jobs::job_partitions()) {
     m_writers.push_back(std::make_unique<store::GroupCommit>(
         store, timer, partition, incarnation, k_first_epoch, k_first_sequence, k_fail_fast,
-        store::EpochPolicy::rising));
+        store::EpochPolicy::rising, limits));
   }
 }
 
--- a/src/arbutusdale/store/group_commit.cpp
+++ b/src/arbutusdale/store/group_commit.cpp
@@ -40,7 +40,7 @@
 std::size_t bytes_of(const std::vector<KeyedValue>& entries) {
   std::size_t bytes = 0;
   for (const KeyedValue& entry : entries) {
-    bytes += entry.key.size() + entry.value.size();
+    bytes += k_record_length_bytes + content_bytes(entry);
   }
   return bytes;
 }
@@ -49,13 +49,15 @@
 
 GroupCommit::GroupCommit(MetadataStore& store, Timer& timer, Partition partition,
                          std::string producer, std::uint64_t epoch, std::uint64_t first_sequence,
-                         std::optional<FailFastPolicy> fail_fast, EpochPolicy epoch_policy)
+                         std::optional<FailFastPolicy> fail_fast, EpochPolicy epoch_policy,
+                         const RecordLimits& limits)
     : m_store(store),
       m_timer(timer),
       m_partition(std::move(partition)),
       m_producer(std::move(producer)),
       m_fail_fast(fail_fast),
       m_epoch_policy(epoch_policy),
+      m_max_batch_bytes(std::min(k_max_batch_bytes, limits.append)),
       m_alive(std::make_shared<bool>(true)),
       m_epoch(epoch),
       m_sequence(first_sequence) {}
@@ -104,7 +106,7 @@
     const Write& next = m_queued.front();
     entries += next.entries.size();
     bytes += bytes_of(next.entries);
-    const bool full = entries > k_max_batch_entries || bytes > k_max_batch_bytes;
+    const bool full = entries > k_max_batch_entries || bytes > m_max_batch_bytes;
     if (full && !m_batch.empty()) {
       break;
     }
