Forget a worker whose removal expired before it was read

Cause: StoreWorkerDirectory collected the workers that it had seen since the end of the last scan. A worker read after it counted as seen in the next scan too, so that one whose removal had been trimmed in between stayed registered.

--- a/include/arbutusdale/store/partition_follower.hpp
+++ b/include/arbutusdale/store/partition_follower.hpp
@@ -30,7 +30,9 @@
   virtual ~PartitionListener() = default;
 
   virtual void on_record(const Record& record) = 0;
-  /// A scan is complete: keys not delivered since the previous scan no longer exist.
+  /// A scan begins, from the first key. A scan that fails is begun again.
+  virtual void on_scan_started() {}
+  /// A scan is complete: keys not delivered since it began no longer exist.
   virtual void on_scan_complete() {}
   /// All records of a reply have been delivered.
   virtual void on_caught_up() {}
--- a/src/arbutusdale/store/partition_follower.cpp
+++ b/src/arbutusdale/store/partition_follower.cpp
@@ -37,6 +37,7 @@
 
 void PartitionFollower::rescan() {
   m_scan_end.reset();
+  m_listener.on_scan_started();
   scan("", m_timer.now());
 }
 
