Request tickets for workers on which only a starving job may start

Cause: a job without runs that has waited 1.5 s on an idle fleet may start beside serving tasks that its image is believed to harm.

Change: the call for advice names the workers on which the waiting task may start, also as a starving one.

--- a/src/arbutusdale/sched/load_test.cpp
+++ b/src/arbutusdale/sched/load_test.cpp
@@ -249,6 +249,38 @@
   cr_assert_gt(started, 0U);
 }
 
+// Guards against a starving job of an advised queue that never starts: no tickets are requested for
+// the workers whose serving tasks its image is believed to harm.
+Test(load, a_harmful_image_of_an_advised_queue_is_not_starved) {
+  FleetFixture fixture(2, k_worker_cpu_millis);
+  fixture.fleet.needs_tickets = true;
+  fixture.fleet.advisor.allowed = {"w00", "w01"};
+  fixture.fleet.work_of = work_of;
+  fixture.fleet.tail_or_cpu_of = [](const FakeWorker& worker, const FakeRun& run) -> std::uint64_t {
+    const bool serves = run.task.job < job_id(1'000);
+    const bool disturbed =
+        std::any_of(worker.runs.begin(), worker.runs.end(), [](const auto& other) {
+          return other.task.job >= job_id(1'000) && other.throttle_percent > 0;
+        });
+    return serves ? (disturbed ? 400 : 30) : 1'800 * run.throttle_percent / 100;
+  };
+  LeaderFixture leader(fixture.timer, fixture.fleet, fixture.log);
+  fixture.timer.advance(200ms);
+  const auto submit_advised = [&leader](JobBuilder job) {
+    job.record.mutable_terms()->set_advised(true);
+    leader.submit(job);
+  };
+  JobBuilder serving = serving_job(1, 4, "image");
+  serving.record.mutable_spec()->mutable_steps(0)->set_max_per_worker(2);
+  submit_advised(serving);
+  fixture.timer.advance(1s);
+  submit_advised(batch_job(1'001, "harmful"));
+  fixture.timer.advance(20s);
+  submit_advised(batch_job(1'002, "harmful"));
+  fixture.timer.advance(3s);
+  cr_assert(leader.state(1'002) != JobState::QUEUED);
+}
+
 // Guards against starving jobs that are skipped because another job of the same image has just
 // found no worker (hunt, shatra trouble-1, seed 553057458927).
 Test(load, every_starving_job_is_looked_at) {
--- a/src/arbutusdale/sched/scheduler_advice.cpp
+++ b/src/arbutusdale/sched/scheduler_advice.cpp
@@ -46,7 +46,7 @@
 
 // Workers with the most free processors first: some are likely still free when the answer arrives.
 std::vector<WorkerEndpoint> Scheduler::advice_candidates(const Step& step) const {
-  const PlacementView view = placement_view();
+  PlacementView view = placement_view();
   auto waiting = std::find_if(step.tasks.begin(), step.tasks.end(), [&view](const Task& task) {
     return task.phase == TaskPhase::waiting && !task.crashes.is_suspect() &&
            !awaits_late_start(view, task);
@@ -58,6 +58,7 @@
   if (waiting == step.tasks.end()) {
     return {};
   }
+  view.allows_harm = is_starved(*waiting);
   std::vector<std::pair<double, const Worker*>> ranked;
   for (const auto& worker : m_workers.all()) {
     const bool useful =
