--- a/include/arbutusdale/sched/crash_history.hpp
+++ b/include/arbutusdale/sched/crash_history.hpp
@@ -53,6 +53,8 @@
   [[nodiscard]] bool is_weak_suspect() const;
   /// True when the task is the cause of crashes, so that it must not be started again.
   [[nodiscard]] bool is_cause() const;
+  /// Number of the crashes that make the task a suspect.
+  [[nodiscard]] std::size_t recent_unsettled_crashes() const;
   /// The crashes in a row, the first ones first.
   [[nodiscard]] const std::vector<CrashedRun>& runs() const { return m_runs; }
   /// Number of the first runs that make the task no suspect any more.
@@ -63,7 +65,6 @@
  private:
   /// Begin of the crashes since the suspicion was last cleared.
   [[nodiscard]] std::vector<CrashedRun>::const_iterator suspicious_begin() const;
-  [[nodiscard]] std::size_t recent_unsettled_crashes() const;
   [[nodiscard]] std::size_t recent_prompt_crashes() const;
 
   std::vector<CrashedRun> m_runs;  // in the order in which the crashes became known
--- a/include/arbutusdale/sched/scheduler.hpp
+++ b/include/arbutusdale/sched/scheduler.hpp
@@ -203,6 +203,8 @@
   void place();
   /// What a placement round has found so far.
   struct RoundState;
+  /// Why the round examines no task of the step.
+  [[nodiscard]] static StartDelay delay_of_step(const Step& step, const RoundState& round);
   /// Starts the task if it may start now and a worker is found for it.
   Visit visit_task(Task& task, RoundState& round);
   /// The same for a task that may have crashed a worker.
@@ -213,6 +215,7 @@
 
   // Log lines on tasks that wait, scheduler_waiting.cpp.
   [[nodiscard]] const Task* find_longest_waiting_task() const;
+  [[nodiscard]] std::size_t count_waiting_suspects() const;
   void log_waiting_task();
   [[nodiscard]] PlacementView placement_view() const;
   bool place_task(Task& task, PlacementRound& round);
--- a/include/arbutusdale/sched/task_table.hpp
+++ b/include/arbutusdale/sched/task_table.hpp
@@ -83,6 +83,19 @@
   done,
 };
 
+/// Why the last placement round that examined a waiting task did not start it.
+enum class StartDelay : std::uint8_t {
+  none,             ///< no round has examined it since it began to wait
+  start_window,     ///< too many starts are unanswered
+  earlier_leader,   ///< an earlier leader may have started it
+  batch_interval,   ///< opportunistic tasks are placed less often than others
+  step_unplaced,    ///< no worker was found for another task of its step
+  not_before,       ///< its next start is put off
+  round_limit,      ///< the round has examined as many suspects as it may
+  isolation_limit,  ///< too many workers have a suspect, or are silent under one
+  no_worker,        ///< no worker was found for it
+};
+
 struct Step;
 class WorkerTable;
 
@@ -115,6 +128,8 @@
   TimePoint checkpointed_at{};             // when it was first reported
   TimePoint ready_at{};                    // since when it waits
   TimePoint not_before{};                  // earliest next start
+  TimePoint examined_at{};                 // by the last round that got to it
+  StartDelay delay = StartDelay::none;     // as of examined_at
 
   [[nodiscard]] Run* find_run(std::uint32_t number);
   /// Takes over a checkpoint that a worker has reported, if there is one.
--- a/include/arbutusdale/sched/worker_table.hpp
+++ b/include/arbutusdale/sched/worker_table.hpp
@@ -145,6 +145,12 @@
   std::size_t withheld = 0;
 };
 
+/// Workers that run a suspect which has not settled.
+struct IsolationCount {
+  std::size_t answering = 0;
+  std::size_t silent = 0;  // may have crashed
+};
+
 /// All workers known to the leader. Workers are never removed.
 class WorkerTable {
  public:
@@ -155,6 +161,7 @@
   [[nodiscard]] const Worker& at(WorkerSlot slot) const { return *m_workers.at(slot); }
   [[nodiscard]] const std::vector<std::unique_ptr<Worker>>& all() const { return m_workers; }
   [[nodiscard]] WithheldCount count_withheld(const std::string& service, TimePoint now) const;
+  [[nodiscard]] IsolationCount count_isolating() const;
 
  private:
   std::vector<std::unique_ptr<Worker>> m_workers;  // by slot
--- a/src/arbutusdale/sched/scheduler.cpp
+++ b/src/arbutusdale/sched/scheduler.cpp
@@ -119,6 +119,7 @@
         continue;
       }
       task.ready_at = m_timer.now();
+      task.delay = StartDelay::none;
       task.phase = TaskPhase::waiting;
       m_ready.push(task, m_timer.now());
     }
@@ -144,6 +145,7 @@
   }
   task.phase = TaskPhase::waiting;
   task.ready_at = m_timer.now();
+  task.delay = StartDelay::none;
   if (task.late_start.awaited_since == TimePoint{}) {
     task.late_start.awaited_since = task.ready_at;
   }
--- a/src/arbutusdale/sched/scheduler_placement.cpp
+++ b/src/arbutusdale/sched/scheduler_placement.cpp
@@ -113,20 +113,33 @@
   request_advice(round.unadvised);
 }
 
+StartDelay Scheduler::delay_of_step(const Step& step, const RoundState& round) {
+  if (step.job->taken_over && !round.may_start_taken_over) {
+    return StartDelay::earlier_leader;
+  }
+  if (step.spec->opportunistic() && !round.batch_due) {
+    return StartDelay::batch_interval;
+  }
+  return round.unplaced.contains(&step) ? StartDelay::step_unplaced : StartDelay::none;
+}
+
 Visit Scheduler::visit_task(Task& task, RoundState& round) {
+  task.examined_at = round.now;
   if (m_starts_in_flight >= m_start_window.size()) {
     round.left_out = false;  // an answer starts the next round
+    task.delay = StartDelay::start_window;
     return Visit::stop;
   }
   const Step& step = *task.step;
   const bool opportunistic = step.spec->opportunistic();
   m_place_due = m_place_due || (opportunistic && !round.batch_due);
-  const bool step_waits = (step.job->taken_over && !round.may_start_taken_over) ||
-                          (opportunistic && !round.batch_due) || round.unplaced.contains(&step);
-  if (step_waits) {
+  const StartDelay step_delay = delay_of_step(step, round);
+  if (step_delay != StartDelay::none) {
+    task.delay = step_delay;
     return Visit::next_step;
   }
   if (task.not_before > round.now) {
+    task.delay = StartDelay::not_before;
     return Visit::next_task;
   }
   if (task.crashes.is_suspect() && !step.spec->gang()) {
@@ -142,6 +155,7 @@
   }
   if (round.unplaced_suspects >= k_max_unplaced_suspects) {
     round.left_out = true;
+    task.delay = StartDelay::round_limit;
     return;
   }
   round.examined_suspects.insert(&task);
@@ -158,6 +172,7 @@
   const bool is_gang = step.spec->gang();
   const bool plain_batch = step.spec->opportunistic() && step.spec->required_label().empty() &&
                            !step.job->terms().advised();
+  task.delay = StartDelay::no_worker;
   const auto refused = round.unplaced_cpu.find(step.image);
   if (plain_batch && refused != round.unplaced_cpu.end() &&
       step.need.cpu_millis >= refused->second && !is_starved(task)) {
@@ -229,17 +244,10 @@
 // A worker that is silent under a suspect may have crashed, so it takes none of the places of those
 // that still answer. Counted together, they bound the share of the fleet that suspects may crash.
 bool Scheduler::may_isolate() const {
-  std::size_t isolated = 0;
-  std::size_t silent = 0;
-  for (const auto& worker : m_workers.all()) {
-    if (worker->isolated_runs == 0) {
-      continue;
-    }
-    const bool is_silent = worker->silent_since != TimePoint{};
-    ++(is_silent ? silent : isolated);
-  }
+  const IsolationCount count = m_workers.count_isolating();
   const std::size_t limit = max_isolated_workers();
-  return isolated < limit && isolated + silent < limit * k_silent_isolated_factor;
+  return count.answering < limit &&
+         count.answering + count.silent < limit * k_silent_isolated_factor;
 }
 
 // The smallest groups with which every suspect starts in time: a task that crashes the worker of
@@ -290,8 +298,10 @@
     return true;
   }
   if (!may_isolate()) {
+    task.delay = StartDelay::isolation_limit;
     return false;
   }
+  task.delay = StartDelay::no_worker;
   PlacementView view = placement_view();
   view.allows_harm = is_starved(task);
   if (const auto slot = choose_worker(view, task)) {
--- a/src/arbutusdale/sched/scheduler_waiting.cpp
+++ b/src/arbutusdale/sched/scheduler_waiting.cpp
@@ -4,6 +4,7 @@
 #include "arbutusdale/sched/placement.hpp"
 #include "arbutusdale/sched/scheduler.hpp"
 
+#include <algorithm>
 #include <cstddef>
 #include <map>
 #include <string>
@@ -39,6 +40,18 @@
     {Exclusion::ticket, "ticket"},
 }};
 
+constexpr EnumNames<StartDelay, 9> k_delay_names{{
+    {StartDelay::none, "not_examined"},
+    {StartDelay::start_window, "start_window"},
+    {StartDelay::earlier_leader, "earlier_leader"},
+    {StartDelay::batch_interval, "batch_interval"},
+    {StartDelay::step_unplaced, "step_unplaced"},
+    {StartDelay::not_before, "not_before"},
+    {StartDelay::round_limit, "round_limit"},
+    {StartDelay::isolation_limit, "isolation_limit"},
+    {StartDelay::no_worker, "no_worker"},
+}};
+
 /// Number of workers by the reason that excludes them, such as "capacity:40,withheld:2".
 std::string count_exclusions(const PlacementView& view, const Task& task) {
   std::map<Exclusion, std::size_t> counts;
@@ -71,6 +84,17 @@
   return longest;
 }
 
+std::size_t Scheduler::count_waiting_suspects() const {
+  std::size_t count = 0;
+  m_ready.for_each_step([&count](const Step& step, std::size_t) {
+    for (const Task& task : step.tasks) {
+      const bool waits = task.phase == TaskPhase::waiting && task.crashes.is_suspect();
+      count += waits ? 1 : 0;
+    }
+  });
+  return count;
+}
+
 void Scheduler::log_waiting_task() {
   const TimePoint now = m_timer.now();
   if (now - m_waiting_logged_at < k_report_interval) {
@@ -82,6 +106,7 @@
   }
   m_waiting_logged_at = now;
   const Step& step = *task->step;
+  const IsolationCount isolation = m_workers.count_isolating();
   EventLine(Event::task_waiting)
       .add("job", step.job->id.view())
       .add("step", step.index)
@@ -89,7 +114,15 @@
       .add_ms("waited_ms", now - task->ready_at)
       .add("cpu_millis", step.need.cpu_millis)
       .add("opportunistic", step.spec->opportunistic() ? 1 : 0)
+      .add("delay", enum_name(k_delay_names, task->delay))
+      .add_ms("examined_ms_ago", now - std::max(task->examined_at, task->ready_at))
       .add("suspect", task->crashes.is_suspect() ? 1 : 0)
+      .add("unsettled_crashes", task->crashes.recent_unsettled_crashes())
+      .add("waiting_suspects", count_waiting_suspects())
+      .add("suspect_group_size", m_suspect_group_size)
+      .add("isolating_workers", isolation.answering)
+      .add("silent_isolating_workers", isolation.silent)
+      .add("max_isolating_workers", max_isolated_workers())
       .add("fleet_is_idle", m_fleet_is_idle ? 1 : 0)
       .add("may_start", may_start() ? 1 : 0)
       .add("starts_in_flight", m_starts_in_flight)
--- a/src/arbutusdale/sched/worker_table.cpp
+++ b/src/arbutusdale/sched/worker_table.cpp
@@ -167,6 +167,18 @@
   return count;
 }
 
+IsolationCount WorkerTable::count_isolating() const {
+  IsolationCount count;
+  for (const auto& worker : m_workers) {
+    if (worker->isolated_runs == 0) {
+      continue;
+    }
+    const bool is_silent = worker->silent_since != TimePoint{};
+    ++(is_silent ? count.silent : count.answering);
+  }
+  return count;
+}
+
 Worker* WorkerTable::find(const std::string& id) {
   const auto found = m_slots.find(id);
   return found == m_slots.end() ? nullptr : m_workers[found->second].get();
