--- a/include/arbutusdale/sched/scheduler.hpp
+++ b/include/arbutusdale/sched/scheduler.hpp
@@ -65,6 +65,12 @@
   TimePoint poll_until = TimePoint::max();  // polls extend leases
 };
 
+/// Most workers on which suspects may run at a time.
+struct IsolationLimit {
+  std::size_t answering = 0;
+  std::size_t total = 0;  // with those that are silent under a suspect
+};
+
 /// What a shard lacks for a job.
 enum class Shortage : std::uint8_t {
   none,
@@ -226,8 +232,9 @@
   /// Places a suspect in a group that has begun.
   bool place_in_group(Task& task);
   void update_suspect_group_size();
-  [[nodiscard]] std::size_t max_isolated_workers() const;
-  [[nodiscard]] bool may_isolate() const;
+  /// The limit for a suspect that has waited for this time.
+  [[nodiscard]] IsolationLimit isolation_limit(Duration waited) const;
+  [[nodiscard]] bool may_isolate(const Task& task) const;
   void release_start_slot();
   [[nodiscard]] std::uint32_t next_run_number(const Task& task) const;
 
--- a/src/arbutusdale/sched/scheduler_placement.cpp
+++ b/src/arbutusdale/sched/scheduler_placement.cpp
@@ -21,10 +21,13 @@
 // of which is compared with all workers, after this many.
 constexpr std::size_t k_max_unplaced_steps = 64;
 constexpr std::size_t k_max_unplaced_suspects = 8;
-// Share of the workers on which suspects are started at a time, since each may crash its worker.
-constexpr double k_max_isolated_share = 0.125;
+// Share of the workers on which suspects are started at a time, since each may crash its worker. It
+// doubles with each isolation time for which a suspect has waited, up to the larger share.
+constexpr double k_first_isolated_share = 0.125;
+constexpr double k_max_isolated_share = 0.5;
 constexpr std::size_t k_min_isolated_workers = 2;
-// With those that have fallen silent under a suspect, this multiple of that share.
+// With those that have fallen silent under a suspect, this multiple of that share, up to the larger
+// share.
 constexpr std::size_t k_silent_isolated_factor = 2;
 // A suspect that has waited this long for a worker without recent starts gets one reserved.
 constexpr Duration k_reservation_delay = std::chrono::milliseconds{200};
@@ -232,22 +235,34 @@
   return true;
 }
 
-std::size_t Scheduler::max_isolated_workers() const {
+// Suspects that wait for the same places are not kept waiting by those before them: their limit
+// grows with their wait. A task that crashes its workers begins to wait anew after each crash.
+IsolationLimit Scheduler::isolation_limit(Duration waited) const {
   const auto& workers = m_workers.all();
   const auto registered = std::count_if(workers.begin(), workers.end(),
                                         [](const auto& worker) { return worker->registered; });
-  const auto share =
-      static_cast<std::size_t>(static_cast<double>(registered) * k_max_isolated_share);
-  return std::max(share, k_min_isolated_workers);
+  const auto part = [registered](double share) {
+    return static_cast<std::size_t>(static_cast<double>(registered) * share);
+  };
+  double share = k_first_isolated_share;
+  for (Duration left = waited; left >= k_isolation_time && share < k_max_isolated_share;) {
+    share *= 2;
+    left -= k_isolation_time;
+  }
+  IsolationLimit limit;
+  limit.answering = std::max(part(std::min(share, k_max_isolated_share)), k_min_isolated_workers);
+  const std::size_t most =
+      std::max(part(k_max_isolated_share), k_min_isolated_workers * k_silent_isolated_factor);
+  limit.total = std::min(limit.answering * k_silent_isolated_factor, most);
+  return limit;
 }
 
 // A worker that is silent under a suspect may have crashed, so it takes none of the places of those
 // that still answer. Counted together, they bound the share of the fleet that suspects may crash.
-bool Scheduler::may_isolate() const {
+bool Scheduler::may_isolate(const Task& task) const {
   const IsolationCount count = m_workers.count_isolating();
-  const std::size_t limit = max_isolated_workers();
-  return count.answering < limit &&
-         count.answering + count.silent < limit * k_silent_isolated_factor;
+  const IsolationLimit limit = isolation_limit(m_timer.now() - task.ready_at);
+  return count.answering < limit.answering && count.answering + count.silent < limit.total;
 }
 
 // The smallest groups with which every suspect starts in time: a task that crashes the worker of
@@ -269,9 +284,12 @@
       longest_wait = std::max(longest_wait, now - task.ready_at);
     }
   });
-  const auto rounds_left = (k_max_suspect_wait - longest_wait) / k_isolation_time;
-  const std::size_t rounds = rounds_left > 1 ? static_cast<std::size_t>(rounds_left) : 1;
-  const std::size_t starts_alone = rounds * max_isolated_workers();
+  std::size_t starts_alone = 0;
+  Duration wait = longest_wait;
+  do {
+    starts_alone += isolation_limit(wait).answering;
+    wait += k_isolation_time;
+  } while (wait + k_isolation_time <= k_max_suspect_wait);
   m_suspect_group_size = static_cast<std::uint32_t>((waiting + starts_alone - 1) / starts_alone);
 }
 
@@ -297,7 +315,7 @@
   if (place_in_group(task)) {
     return true;
   }
-  if (!may_isolate()) {
+  if (!may_isolate(task)) {
     task.delay = StartDelay::isolation_limit;
     return false;
   }
--- a/src/arbutusdale/sched/scheduler_waiting.cpp
+++ b/src/arbutusdale/sched/scheduler_waiting.cpp
@@ -107,6 +107,7 @@
   m_waiting_logged_at = now;
   const Step& step = *task->step;
   const IsolationCount isolation = m_workers.count_isolating();
+  const IsolationLimit limit = isolation_limit(now - task->ready_at);
   EventLine(Event::task_waiting)
       .add("job", step.job->id.view())
       .add("step", step.index)
@@ -122,7 +123,8 @@
       .add("suspect_group_size", m_suspect_group_size)
       .add("isolating_workers", isolation.answering)
       .add("silent_isolating_workers", isolation.silent)
-      .add("max_isolating_workers", max_isolated_workers())
+      .add("max_isolating_workers", limit.answering)
+      .add("max_isolating_or_silent_workers", limit.total)
       .add("fleet_is_idle", m_fleet_is_idle ? 1 : 0)
       .add("may_start", may_start() ? 1 : 0)
       .add("starts_in_flight", m_starts_in_flight)
--- /dev/null
+++ b/src/arbutusdale/sched/suspect_limit_test.cpp
@@ -0,0 +1,111 @@
+// The limit on workers with suspects: sound tasks start again in time after a storm of crashes, and
+// tasks that crash their workers take a bounded share of the fleet.
+#include <algorithm>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "crashing_task_fixture_test.hpp"
+#include <criterion/criterion.h>
+
+using namespace arbutusdale;
+using namespace arbutusdale::sched;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int k_workers = 16;
+constexpr std::uint64_t k_cpu_millis = 16'000;
+constexpr Duration k_longest_wait = 3s;  // of rule LOST
+
+std::size_t crashed_workers(CrashFixture& f) {
+  const auto& workers = f.fleet.all();
+  const auto count = std::count_if(workers.begin(), workers.end(),
+                                   [](const auto& entry) { return entry.second->crashed; });
+  return static_cast<std::size_t>(count);
+}
+
+/// Crashes each worker that starts a task of the jobs `first` to `last`, until every task has had
+/// this many crashes.
+void crash_until_each_task_had(CrashFixture& f, std::uint32_t crashes, std::uint32_t first,
+                               std::uint32_t last) {
+  const auto had_less = [&](const jobs::TaskId& task) {
+    return f.fleet.counts_of(task).crashes < crashes;
+  };
+  const auto is_done = [&] {
+    for (std::uint32_t number = first; number <= last; ++number) {
+      if (had_less({job_id(number), 0, 0, 0})) {
+        return false;
+      }
+    }
+    return true;
+  };
+  const TimePoint limit = f.timer.now() + 60s;
+  while (!is_done()) {
+    cr_assert(f.timer.now() < limit);
+    f.timer.advance(50ms);
+    std::vector<std::string> ids;
+    for (const auto& [id, worker] : f.fleet.all()) {
+      const bool is_hit = std::any_of(worker->runs.begin(), worker->runs.end(),
+                                      [&](const FakeRun& run) { return had_less(run.task); });
+      if (is_hit) {
+        ids.push_back(id);
+      }
+    }
+    for (const std::string& id : ids) {
+      f.fleet.crash_and_return(id);
+    }
+  }
+}
+
+}  // namespace
+
+// Guards against sound tasks that wait on an idle fleet since two crashes in a row made them
+// suspects that start alone, on few workers at a time.
+Test(suspect_limit, tasks_that_crashed_twice_in_a_storm_start_again_in_time) {
+  constexpr std::uint32_t k_jobs = 40;
+  CrashFixture f(k_workers, k_cpu_millis);
+  f.lead();
+  f.timer.advance(1s);
+  for (std::uint32_t i = 1; i <= k_jobs; ++i) {
+    f.submit_serving(i, 1);
+  }
+  crash_until_each_task_had(f, 2, 1, k_jobs);
+  f.timer.advance(f.fleet.return_delay + 200ms + k_longest_wait);
+  for (std::uint32_t i = 1; i <= k_jobs; ++i) {
+    cr_expect_eq(f.running_tasks(i), 1U, "job %u", i);
+  }
+  f.expect_nothing_doubled();
+}
+
+// Guards against many tasks that crash their workers, which are started on all workers at a time,
+// so that nothing is left for the others.
+Test(suspect_limit, deadly_tasks_take_at_most_half_of_the_fleet_at_a_time) {
+  constexpr std::uint32_t k_deadly_jobs = 24;
+  constexpr std::uint32_t k_sound_jobs = 10;
+  CrashFixture f(k_workers, k_cpu_millis);
+  f.lead();
+  f.timer.advance(1s);
+  std::set<std::uint32_t> deadly;
+  for (std::uint32_t i = 1; i <= k_deadly_jobs; ++i) {
+    deadly.insert(100 + i);
+    f.submit_deadly(100 + i, 1);
+  }
+  std::size_t most_crashed = 0;
+  for (std::uint32_t i = 1; i <= k_sound_jobs; ++i) {
+    f.submit(i, 4);
+    for (int step = 0; step < 300; ++step) {
+      f.timer.advance(10ms);
+      most_crashed = std::max(most_crashed, crashed_workers(f));
+    }
+    cr_expect_eq(f.starts_of(i), 4U, "job %u has had %u starts", i, f.starts_of(i));
+  }
+  f.timer.advance(30s);
+  cr_expect_leq(most_crashed, static_cast<std::size_t>(k_workers / 2));
+  f.expect_given_up(deadly);
+  f.expect_completed(1, k_sound_jobs);
+  f.expect_nothing_doubled();
+}
