--- a/src/arbutusdale/sched/scheduler_advice.cpp
+++ b/src/arbutusdale/sched/scheduler_advice.cpp
@@ -59,13 +59,13 @@
     return {};
   }
   view.allows_harm = is_starved(*waiting);
-  std::vector<std::pair<double, const Worker*>> ranked;
+  std::vector<std::pair<double, WorkerSlot>> ranked;  // of equals, the first in slot order
   for (const auto& worker : m_workers.all()) {
     const bool useful =
         m_tickets.is_candidate(step, *worker, view.now) && can_host(view, *worker, *waiting);
     if (useful) {
       const Resources free = minus(worker->entry.capacity, worker->committed);
-      ranked.emplace_back(-static_cast<double>(free.cpu_millis), worker.get());
+      ranked.emplace_back(-static_cast<double>(free.cpu_millis), worker->slot);
     }
   }
   const std::size_t count = std::min(ranked.size(), k_advised_workers);
@@ -74,7 +74,7 @@
   std::vector<WorkerEndpoint> candidates;
   candidates.reserve(count);
   for (std::size_t i = 0; i < count; ++i) {
-    candidates.push_back(ranked[i].second->endpoint());
+    candidates.push_back(m_workers.at(ranked[i].second).endpoint());
   }
   return candidates;
 }
