--- /dev/null
+++ b/src/arbutusdale/sched/waiting_soak_test.hpp
@@ -0,0 +1,274 @@
+// Soak of one leader at a time under series of faults of workers. Checks that no job waits at the
+// end on a fleet that is mostly free. The variable ARBUTUSDALE_WAITING_SEEDS sets the number of
+// seeds, ARBUTUSDALE_WAITING_FIRST_SEED the first one; ARBUTUSDALE_WAITING_SHAPE leaves out the
+// tests of all other shapes.
+#pragma once
+
+#include "arbutusdale/observe/event_log.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <cstdio>
+#include <cstdlib>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "sched_fixture_test.hpp"
+#include "waiting_faults_test.hpp"
+#include "waiting_shapes_test.hpp"
+#include <criterion/criterion.h>
+
+namespace arbutusdale::sched {
+
+inline std::uint32_t number_of(const jobs::JobId& job) {
+  return static_cast<std::uint32_t>(std::stoul(job.str(), nullptr, 16));
+}
+
+/// A fleet of which less than half is in use, under overlapping faults that begin before the
+/// traffic ends.
+class WaitingSoak {
+ public:
+  WaitingSoak(const WaitingSoakShape& shape, std::uint64_t seed)
+      : m_shape(shape),
+        m_draws{Random(seed)},
+        m_fixture(shape.workers, k_waiting_worker_cpu_millis),
+        m_faults(m_shape, m_draws, m_fixture, [this] { lead(); }) {
+    FakeFleet& fleet = m_fixture.fleet;
+    fleet.work_of = [](const jobs::TaskId& task) { return work_of(number_of(task.job)); };
+    fleet.crashes_worker = [](const jobs::TaskId& task) {
+      return kind_of(number_of(task.job)) == WaitingJob::deadly && task.index == 0;
+    };
+    fleet.tail_or_cpu_of = tail_or_cpu_of;
+    fleet.return_mode = m_draws.chance(0.5) ? Return::under_same_id : Return::under_new_id;
+    for (auto& [id, worker] : fleet.all()) {
+      worker->guards_capacity = true;
+      fleet.advisor.allowed.insert(id);
+    }
+    m_advised = m_draws.chance(0.3);
+    fleet.needs_tickets = m_advised;
+    if (std::getenv("ARBUTUSDALE_TEST_EVENTS") != nullptr) {
+      write_events();
+    }
+    lead();
+  }
+
+  /// Descriptions of the tasks that wait in the end.
+  std::vector<std::string> run() {
+    constexpr std::chrono::seconds k_finish{14};  // from the end of the traffic to the check
+    advance(std::chrono::milliseconds{500});
+    for (std::uint32_t i = 0; i < m_shape.lasting_jobs; ++i) {
+      submit(++m_lasting);
+    }
+    advance(std::chrono::seconds{2});
+    play_traffic();
+    const TimePoint check_at = now() + k_finish;
+    while (now() < check_at) {
+      advance(std::chrono::milliseconds{100});
+      observe();
+    }
+    return waiting();
+  }
+
+ private:
+  static Duration work_of(std::uint32_t number) {
+    switch (kind_of(number)) {
+      case WaitingJob::lasting:
+        return std::chrono::seconds{600};
+      case WaitingJob::batch:
+        return std::chrono::milliseconds{2'200};
+      default:
+        return std::chrono::milliseconds{800};
+    }
+  }
+  static std::uint64_t tail_or_cpu_of(const FakeWorker& worker, const FakeRun& run) {
+    if (kind_of(number_of(run.task.job)) != WaitingJob::lasting) {
+      return 1'000;
+    }
+    const auto harmful =
+        std::count_if(worker.runs.begin(), worker.runs.end(), [](const auto& other) {
+          const std::uint32_t number = number_of(other.task.job);
+          return kind_of(number) == WaitingJob::batch && number % 3 != 0;
+        });
+    return 10 + 12 * static_cast<std::uint64_t>(harmful);
+  }
+
+  /// Writes the events of the leaders to the standard error output.
+  void write_events() {
+    constexpr std::size_t k_unlimited = 1'000'000;
+    observe::open_event_log(2, "test", m_fixture.timer, {k_unlimited, k_unlimited, k_unlimited});
+    flush_events();
+  }
+  void flush_events() {
+    observe::flush_event_log();
+    m_fixture.timer.call_after(std::chrono::milliseconds{5}, [this] { flush_events(); });
+  }
+  [[nodiscard]] TimePoint now() const { return m_fixture.timer.now(); }
+  void advance(Duration time) {
+    for (const auto& [id, worker] : m_fixture.fleet.all()) {
+      m_fixture.fleet.advisor.allowed.insert(id);
+    }
+    m_fixture.timer.advance(time);
+  }
+
+  void lead() {
+    if (!m_leaders.empty()) {
+      m_leaders.back()->kill();
+    }
+    const auto term = static_cast<std::uint32_t>(m_leaders.size() + 1);
+    m_leaders.push_back(
+        std::make_unique<LeaderFixture>(m_fixture.timer, m_fixture.fleet, m_fixture.log, term));
+  }
+
+  void submit(std::uint32_t number) {
+    const WaitingJob kind = kind_of(number);
+    const std::uint64_t cpu_millis = m_shape.sizes.of(number);
+    JobBuilder job(number, kind == WaitingJob::batch ? 2 : 0);
+    job.record.mutable_terms()->set_advised(m_advised);
+    if (kind == WaitingJob::lasting) {
+      auto& step = job.step(k_lasting_tasks, cpu_millis);
+      step.set_long_running(true);
+      step.set_image(fmt::format("serving{}", number % 3));
+      step.set_tail_target_ms(24);
+      step.set_max_per_worker(number % 2 == 0 ? 1 : 0);
+    } else if (kind == WaitingJob::batch) {
+      auto& step = job.step(4, cpu_millis);
+      step.set_opportunistic(true);
+      step.set_image(fmt::format("batch{}", number % 9));
+      step.set_checkpointing(true);
+    } else {
+      job.step(4, cpu_millis).set_max_per_worker(number % 5 == 0 ? 1 : 0);
+    }
+    m_submitted.push_back(number);
+    m_leaders.back()->submit(job);
+  }
+
+  void submit_some() {
+    if (m_draws.chance(m_shape.batch_chance)) {
+      submit(k_first_batch + ++m_batch);
+    }
+    if (m_draws.chance(m_shape.brief_chance)) {
+      submit(k_first_brief + ++m_brief);
+    }
+    if (m_draws.chance(m_shape.deadly_chance)) {
+      submit(k_first_deadly + ++m_deadly);
+    }
+  }
+
+  void play_traffic() {
+    const TimePoint begin = now();
+    while (now() < begin + m_shape.traffic) {
+      for (int i = 0; i < m_shape.submissions; ++i) {
+        submit_some();
+      }
+      if (m_draws.chance(m_shape.fault_chance_at(now() - begin))) {
+        m_faults.inject();
+      }
+      advance(std::chrono::milliseconds{200});
+    }
+  }
+
+  void observe() {
+    for (const auto& [id, worker] : m_fixture.fleet.all()) {
+      for (const FakeRun& run : worker->runs) {
+        m_run_at[number_of(run.task.job)] = now();
+        m_task_run_at[FakeFleet::name_of(run.task)] = now();
+      }
+    }
+  }
+
+  /// Less than half of the ready workers' processors is in use, by runs of any kind.
+  [[nodiscard]] bool is_mostly_free() {
+    std::uint64_t capacity = 0;
+    std::uint64_t used = 0;
+    for (const auto& [id, worker] : m_fixture.fleet.all()) {
+      const bool ready = !worker->crashed && worker->entry.state == WorkerState::ready;
+      capacity += ready ? worker->entry.capacity.cpu_millis : 0;
+      for (const FakeRun& run : worker->runs) {
+        used += m_shape.sizes.of(number_of(run.task.job));
+      }
+    }
+    return 2 * used < capacity;
+  }
+
+  std::vector<std::string> waiting() {
+    constexpr std::chrono::seconds k_longest_wait{3};   // without a run
+    constexpr std::chrono::seconds k_lasting_grace{6};  // of a lasting task, since its last run
+    std::vector<std::string> found;
+    if (!is_mostly_free()) {
+      return found;
+    }
+    for (const std::uint32_t number : m_submitted) {
+      const proto::jobs::JobState state = m_leaders.back()->state(number);
+      const bool is_open =
+          state == proto::jobs::JobState::QUEUED || state == proto::jobs::JobState::RUNNING;
+      if (kind_of(number) == WaitingJob::deadly || !is_open) {
+        continue;
+      }
+      if (now() - m_run_at[number] > k_longest_wait) {
+        found.push_back(fmt::format("job {} has no run", number));
+      }
+      const bool is_lasting = kind_of(number) == WaitingJob::lasting;
+      for (std::uint32_t i = 0; is_lasting && i < k_lasting_tasks; ++i) {
+        const std::string task = FakeFleet::name_of({job_id(number), 0, 0, i});
+        if (now() - m_task_run_at[task] > k_lasting_grace + k_longest_wait) {
+          found.push_back(fmt::format("task {} of job {} has no run", i, number));
+        }
+      }
+    }
+    return found;
+  }
+
+  static constexpr std::uint32_t k_lasting_tasks = 6;  // of a lasting job
+
+  WaitingSoakShape m_shape;
+  WaitingDraws m_draws;
+  FleetFixture m_fixture;
+  WaitingFaults m_faults;
+  std::vector<std::unique_ptr<LeaderFixture>> m_leaders;  // by term
+  bool m_advised = false;
+  std::uint32_t m_lasting = 0;
+  std::uint32_t m_batch = 0;
+  std::uint32_t m_brief = 0;
+  std::uint32_t m_deadly = 0;
+  std::vector<std::uint32_t> m_submitted;
+  std::map<std::uint32_t, TimePoint> m_run_at;     // last run seen, by job
+  std::map<std::string, TimePoint> m_task_run_at;  // the same, by task
+};
+
+struct WaitingSeeds {
+  std::uint64_t first = 1;
+  std::uint64_t count = 0;
+};
+
+/// The seeds that the environment chooses, or else these.
+inline WaitingSeeds chosen_seeds(WaitingSeeds otherwise) {
+  const auto variable = [](const char* name, std::uint64_t value) {
+    const char* text = std::getenv(name);
+    return text == nullptr ? value : std::strtoull(text, nullptr, 10);
+  };
+  return {variable("ARBUTUSDALE_WAITING_FIRST_SEED", otherwise.first),
+          variable("ARBUTUSDALE_WAITING_SEEDS", otherwise.count)};
+}
+
+/// Plays the seeds and fails the test if a task waits in the end of any.
+inline void expect_no_task_waits(const WaitingSoakShape& shape, WaitingSeeds otherwise) {
+  const char* chosen = std::getenv("ARBUTUSDALE_WAITING_SHAPE");
+  if (chosen != nullptr && shape.name != chosen) {
+    cr_skip_test("another shape is chosen");
+  }
+  const WaitingSeeds seeds = chosen_seeds(otherwise);
+  std::uint64_t failed = 0;
+  for (std::uint64_t seed = seeds.first; seed < seeds.first + seeds.count; ++seed) {
+    const std::vector<std::string> waiting = WaitingSoak(shape, seed).run();
+    failed += waiting.empty() ? 0 : 1;
+    for (const std::string& task : waiting) {
+      fmt::print(stderr, "{} seed {}: {}\n", shape.name, seed, task);
+    }
+  }
+  cr_assert_eq(failed, 0U, "%lu of %lu seeds failed", failed, seeds.count);
+}
+
+}  // namespace arbutusdale::sched
