--- a/src/arbutusdale/sched/fake_fleet_test.hpp
+++ b/src/arbutusdale/sched/fake_fleet_test.hpp
@@ -39,6 +39,8 @@
   std::function<bool(const jobs::TaskId&)> crashes_worker = [](const jobs::TaskId&) {
     return false;
   };
+  /// Called before a worker crashes under such a task, while the worker still has its runs.
+  std::function<void(const FakeWorker&)> on_crash_by_task = [](const FakeWorker&) {};
   Duration crash_delay = std::chrono::milliseconds{10};
   Duration return_delay = std::chrono::milliseconds{3'200};
   Return return_mode = Return::under_new_id;
@@ -307,8 +309,7 @@
       return false;
     }
     if (crash_delay == Duration::zero()) {
-      ++crashes;
-      crash_and_return(worker.entry.id);
+      crash_by_task(worker);
       return true;
     }
     m_timer.call_after(crash_delay, [this, &worker, id = run.task, number = run.number] {
@@ -316,12 +317,16 @@
           worker.runs.begin(), worker.runs.end(),
           [&](const FakeRun& other) { return other.task == id && other.number == number; });
       if (is_alive) {
-        ++crashes;
-        crash_and_return(worker.entry.id);
+        crash_by_task(worker);
       }
     });
     return false;
   }
+  void crash_by_task(const FakeWorker& worker) {
+    ++crashes;
+    on_crash_by_task(worker);
+    crash_and_return(worker.entry.id);
+  }
 
   [[nodiscard]] std::uint64_t clock_of(const FakeWorker& worker) const {
     const auto passed = (m_timer.now() - worker.started_at).count() / 1'000;
@@ -510,6 +515,7 @@
     auto& superseded = worker.superseded_through[name_of(task)];
     superseded = std::max(superseded, number);
     worker.ended.push_back({++worker.end_count, task, number, outcome, ""});
+    counts[name_of(task)].failures += outcome == RunOutcome::failed ? 1 : 0;
     if (outcome == RunOutcome::done) {
       ++successes[name_of(task)];
       worker.done_at[worker.end_count] = m_timer.now();
--- a/src/arbutusdale/sched/fake_worker_test.hpp
+++ b/src/arbutusdale/sched/fake_worker_test.hpp
@@ -63,7 +63,8 @@
   std::uint32_t starts = 0;
   std::uint32_t crashes = 0;  // workers that crashed while it ran
   std::uint32_t starts_after_three_crashes = 0;
-  bool is_deadly = false;  // it crashes each worker that starts it
+  std::uint32_t failures = 0;  // runs that ended failed
+  bool is_deadly = false;      // it crashes each worker that starts it
 };
 
 /// Advice service that gives expiring tickets for the workers in `allowed`.
--- a/src/arbutusdale/sched/waiting_faults_test.hpp
+++ b/src/arbutusdale/sched/waiting_faults_test.hpp
@@ -37,6 +37,9 @@
                 std::function<void()> lead)
       : m_shape(shape), m_draws(draws), m_fixture(fixture), m_lead(std::move(lead)) {}
 
+  /// All faults injected so far are over from then on.
+  [[nodiscard]] TimePoint disturbed_until() const { return m_disturbed_until; }
+
   void inject() {
     const Duration length = m_draws.ms(500, 8'000);
     const WaitingFault kind = draw_kind();
@@ -46,6 +49,7 @@
     }
     if (kind == WaitingFault::new_leader) {
       m_lead();
+      disturb_for(Duration::zero());
     }
   }
 
@@ -114,6 +118,7 @@
         break;
       case WaitingFault::crash:
         m_fixture.fleet.crash_and_return(id);
+        disturb_for(m_fixture.fleet.return_delay);
         break;
       case WaitingFault::drain:
         drain(id, m_draws.ms(2'000, 9'000));
@@ -126,12 +131,16 @@
     }
   }
 
+  void disturb_for(Duration length) {
+    m_disturbed_until = std::max(m_disturbed_until, m_fixture.timer.now() + length);
+  }
   FakeWorker* find(const std::string& id) {
     const auto found = m_fixture.fleet.all().find(id);
     return found == m_fixture.fleet.all().end() ? nullptr : found->second.get();
   }
   template <typename Change>
   void change_for(const std::string& id, Duration length, Change change) {
+    disturb_for(length);
     change(m_fixture.fleet.at(id), true);
     m_fixture.timer.call_after(length, [this, id, change] {
       if (FakeWorker* worker = find(id)) {
@@ -142,6 +151,7 @@
 
   /// Another worker comes; this one announces that it leaves, and exits after `linger`.
   void drain(const std::string& id, Duration linger) {
+    disturb_for(linger);
     const std::string next = fmt::format("n{}", ++m_added);
     FakeWorker& added = m_fixture.fleet.add(next, k_waiting_worker_cpu_millis);
     added.guards_capacity = true;
@@ -174,6 +184,7 @@
   WaitingDraws& m_draws;
   FleetFixture& m_fixture;
   std::function<void()> m_lead;  // puts another leader in the place of the present one
+  TimePoint m_disturbed_until{};
   int m_added = 0;
 };
 
--- a/src/arbutusdale/sched/waiting_soak_test.hpp
+++ b/src/arbutusdale/sched/waiting_soak_test.hpp
@@ -1,7 +1,7 @@
 // Soak of one leader at a time under series of faults of workers. Checks that no job waits at the
 // end on a fleet that is mostly free. The variable ARBUTUSDALE_WAITING_SEEDS sets the number of
 // seeds, ARBUTUSDALE_WAITING_FIRST_SEED the first one; ARBUTUSDALE_WAITING_SHAPE leaves out the
-// tests of all other shapes.
+// tests of all other shapes, and ARBUTUSDALE_WAITING_FIGURES prints the figures of each run.
 #pragma once
 
 #include "arbutusdale/observe/event_log.hpp"
@@ -11,7 +11,6 @@
 #include <cstdint>
 #include <cstdio>
 #include <cstdlib>
-#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -19,14 +18,11 @@
 #include "sched_fixture_test.hpp"
 #include "waiting_faults_test.hpp"
 #include "waiting_shapes_test.hpp"
+#include "waiting_watch_test.hpp"
 #include <criterion/criterion.h>
 
 namespace arbutusdale::sched {
 
-inline std::uint32_t number_of(const jobs::JobId& job) {
-  return static_cast<std::uint32_t>(std::stoul(job.str(), nullptr, 16));
-}
-
 /// A fleet of which less than half is in use, under overlapping faults that begin before the
 /// traffic ends.
 class WaitingSoak {
@@ -35,7 +31,8 @@
       : m_shape(shape),
         m_draws{Random(seed)},
         m_fixture(shape.workers, k_waiting_worker_cpu_millis),
-        m_faults(m_shape, m_draws, m_fixture, [this] { lead(); }) {
+        m_faults(m_shape, m_draws, m_fixture, [this] { lead(); }),
+        m_watch(m_shape, m_fixture) {
     FakeFleet& fleet = m_fixture.fleet;
     fleet.work_of = [](const jobs::TaskId& task) { return work_of(number_of(task.job)); };
     fleet.crashes_worker = [](const jobs::TaskId& task) {
@@ -47,8 +44,7 @@
       worker->guards_capacity = true;
       fleet.advisor.allowed.insert(id);
     }
-    m_advised = m_draws.chance(0.3);
-    fleet.needs_tickets = m_advised;
+    fleet.needs_tickets = m_draws.chance(0.3);
     if (std::getenv("ARBUTUSDALE_TEST_EVENTS") != nullptr) {
       write_events();
     }
@@ -67,11 +63,17 @@
     const TimePoint check_at = now() + k_finish;
     while (now() < check_at) {
       advance(std::chrono::milliseconds{100});
-      observe();
+      m_watch.observe();
+      if (now() + k_longest_wait >= check_at) {
+        m_watch.measure_waits();
+      }
     }
-    return waiting();
+    return m_watch.waiting();
   }
 
+  /// Figures of the run so far.
+  [[nodiscard]] WaitingFigures figures() { return m_watch.figures(); }
+
  private:
   static Duration work_of(std::uint32_t number) {
     switch (kind_of(number)) {
@@ -126,9 +128,9 @@
     const WaitingJob kind = kind_of(number);
     const std::uint64_t cpu_millis = m_shape.sizes.of(number);
     JobBuilder job(number, kind == WaitingJob::batch ? 2 : 0);
-    job.record.mutable_terms()->set_advised(m_advised);
+    job.record.mutable_terms()->set_advised(m_fixture.fleet.needs_tickets);
     if (kind == WaitingJob::lasting) {
-      auto& step = job.step(k_lasting_tasks, cpu_millis);
+      auto& step = job.step(k_waiting_lasting_tasks, cpu_millis);
       step.set_long_running(true);
       step.set_image(fmt::format("serving{}", number % 3));
       step.set_tail_target_ms(24);
@@ -141,7 +143,7 @@
     } else {
       job.step(4, cpu_millis).set_max_per_worker(number % 5 == 0 ? 1 : 0);
     }
-    m_submitted.push_back(number);
+    m_watch.add(number);
     m_leaders.back()->submit(job);
   }
 
@@ -167,75 +169,20 @@
         m_faults.inject();
       }
       advance(std::chrono::milliseconds{200});
+      m_watch.observe();
     }
   }
 
-  void observe() {
-    for (const auto& [id, worker] : m_fixture.fleet.all()) {
-      for (const FakeRun& run : worker->runs) {
-        m_run_at[number_of(run.task.job)] = now();
-        m_task_run_at[FakeFleet::name_of(run.task)] = now();
-      }
-    }
-  }
-
-  /// Less than half of the ready workers' processors is in use, by runs of any kind.
-  [[nodiscard]] bool is_mostly_free() {
-    std::uint64_t capacity = 0;
-    std::uint64_t used = 0;
-    for (const auto& [id, worker] : m_fixture.fleet.all()) {
-      const bool ready = !worker->crashed && worker->entry.state == WorkerState::ready;
-      capacity += ready ? worker->entry.capacity.cpu_millis : 0;
-      for (const FakeRun& run : worker->runs) {
-        used += m_shape.sizes.of(number_of(run.task.job));
-      }
-    }
-    return 2 * used < capacity;
-  }
-
-  std::vector<std::string> waiting() {
-    constexpr std::chrono::seconds k_longest_wait{3};   // without a run
-    constexpr std::chrono::seconds k_lasting_grace{6};  // of a lasting task, since its last run
-    std::vector<std::string> found;
-    if (!is_mostly_free()) {
-      return found;
-    }
-    for (const std::uint32_t number : m_submitted) {
-      const proto::jobs::JobState state = m_leaders.back()->state(number);
-      const bool is_open =
-          state == proto::jobs::JobState::QUEUED || state == proto::jobs::JobState::RUNNING;
-      if (kind_of(number) == WaitingJob::deadly || !is_open) {
-        continue;
-      }
-      if (now() - m_run_at[number] > k_longest_wait) {
-        found.push_back(fmt::format("job {} has no run", number));
-      }
-      const bool is_lasting = kind_of(number) == WaitingJob::lasting;
-      for (std::uint32_t i = 0; is_lasting && i < k_lasting_tasks; ++i) {
-        const std::string task = FakeFleet::name_of({job_id(number), 0, 0, i});
-        if (now() - m_task_run_at[task] > k_lasting_grace + k_longest_wait) {
-          found.push_back(fmt::format("task {} of job {} has no run", i, number));
-        }
-      }
-    }
-    return found;
-  }
-
-  static constexpr std::uint32_t k_lasting_tasks = 6;  // of a lasting job
-
   WaitingSoakShape m_shape;
   WaitingDraws m_draws;
   FleetFixture m_fixture;
   WaitingFaults m_faults;
+  WaitingWatch m_watch;
   std::vector<std::unique_ptr<LeaderFixture>> m_leaders;  // by term
-  bool m_advised = false;
   std::uint32_t m_lasting = 0;
   std::uint32_t m_batch = 0;
   std::uint32_t m_brief = 0;
   std::uint32_t m_deadly = 0;
-  std::vector<std::uint32_t> m_submitted;
-  std::map<std::uint32_t, TimePoint> m_run_at;     // last run seen, by job
-  std::map<std::string, TimePoint> m_task_run_at;  // the same, by task
 };
 
 struct WaitingSeeds {
@@ -260,14 +207,23 @@
     cr_skip_test("another shape is chosen");
   }
   const WaitingSeeds seeds = chosen_seeds(otherwise);
+  const bool prints_runs = std::getenv("ARBUTUSDALE_WAITING_FIGURES") != nullptr;
   std::uint64_t failed = 0;
+  WaitingFigures sum;
   for (std::uint64_t seed = seeds.first; seed < seeds.first + seeds.count; ++seed) {
-    const std::vector<std::string> waiting = WaitingSoak(shape, seed).run();
+    WaitingSoak soak(shape, seed);
+    const std::vector<std::string> waiting = soak.run();
     failed += waiting.empty() ? 0 : 1;
+    const WaitingFigures figures = soak.figures();
+    sum.add(figures);
+    if (prints_runs) {
+      fmt::print(stderr, "{} seed {}: {}\n", shape.name, seed, figures.text());
+    }
     for (const std::string& task : waiting) {
       fmt::print(stderr, "{} seed {}: {}\n", shape.name, seed, task);
     }
   }
+  fmt::print(stderr, "{}, {} runs: {}\n", shape.name, seeds.count, sum.text());
   cr_assert_eq(failed, 0U, "%lu of %lu seeds failed", failed, seeds.count);
 }
 
--- /dev/null
+++ b/src/arbutusdale/sched/waiting_watch_test.hpp
@@ -0,0 +1,164 @@
+// Observes the runs of the waiting soak and finds the tasks that wait although workers are free.
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "sched_fixture_test.hpp"
+#include "waiting_figures_test.hpp"
+#include "waiting_shapes_test.hpp"
+
+namespace arbutusdale::sched {
+
+inline constexpr std::uint32_t k_waiting_lasting_tasks = 6;  // of a lasting job
+inline constexpr std::chrono::seconds k_longest_wait{3};     // without a run
+inline constexpr std::chrono::seconds k_lasting_grace{6};    // of a lasting task, since its run
+
+inline std::uint32_t number_of(const jobs::JobId& job) {
+  return static_cast<std::uint32_t>(std::stoul(job.str(), nullptr, 16));
+}
+
+/// Knows when each job and each lasting task had a run, from the observations made of the fleet.
+class WaitingWatch {
+ public:
+  WaitingWatch(const WaitingSoakShape& shape, FleetFixture& fixture)
+      : m_shape(shape), m_fixture(fixture) {
+    m_fixture.fleet.on_crash_by_task = [this](const FakeWorker& worker) { note_crash(worker); };
+  }
+
+  /// A job is submitted now.
+  void add(std::uint32_t number) { m_submitted_at[number] = now(); }
+
+  /// Notes the present runs.
+  void observe() {
+    for (const auto& [id, worker] : m_fixture.fleet.all()) {
+      for (const FakeRun& run : worker->runs) {
+        m_run_at[number_of(run.task.job)] = now();
+        m_task_run_at[FakeFleet::name_of(run.task)] = now();
+      }
+    }
+  }
+
+  /// Descriptions of the jobs and lasting tasks that wait now on a fleet that is mostly free.
+  [[nodiscard]] std::vector<std::string> waiting() {
+    std::vector<std::string> found;
+    if (!is_mostly_free()) {
+      return found;
+    }
+    for (const auto& [number, submitted_at] : m_submitted_at) {
+      if (!is_open_and_sound(number)) {
+        continue;
+      }
+      if (now() - m_run_at[number] > k_longest_wait) {
+        found.push_back(fmt::format("job {} has no run", number));
+      }
+      for (std::uint32_t i = 0; i < lasting_tasks(number); ++i) {
+        if (now() - m_task_run_at[task_name(number, i)] > k_lasting_grace + k_longest_wait) {
+          found.push_back(fmt::format("task {} of job {} has no run", i, number));
+        }
+      }
+    }
+    return found;
+  }
+
+  /// Takes the present waits on a fleet that is mostly free into the figures.
+  void measure_waits() {
+    if (!is_mostly_free()) {
+      return;
+    }
+    for (const auto& [number, submitted_at] : m_submitted_at) {
+      if (!is_open_and_sound(number)) {
+        continue;
+      }
+      measure_wait(std::max(m_run_at[number], submitted_at));
+      for (std::uint32_t i = 0; i < lasting_tasks(number); ++i) {
+        measure_wait(std::max(m_task_run_at[task_name(number, i)], submitted_at));
+      }
+    }
+  }
+
+  [[nodiscard]] WaitingFigures figures() {
+    WaitingFigures figures = m_figures;
+    for (const auto& [number, submitted_at] : m_submitted_at) {
+      const bool is_deadly = kind_of(number) == WaitingJob::deadly;
+      figures.deadly_jobs_open += is_deadly && is_open(number) ? 1 : 0;
+      const bool given_up = !is_deadly && state_of(number) == proto::jobs::JobState::FAILED &&
+                            !has_exhausted_attempts(number);
+      figures.sound_jobs_given_up += given_up ? 1 : 0;
+    }
+    return figures;
+  }
+
+ private:
+  [[nodiscard]] TimePoint now() const { return m_fixture.timer.now(); }
+  static std::string task_name(std::uint32_t number, std::uint32_t index) {
+    return FakeFleet::name_of({job_id(number), 0, 0, index});
+  }
+  static std::uint32_t lasting_tasks(std::uint32_t number) {
+    return kind_of(number) == WaitingJob::lasting ? k_waiting_lasting_tasks : 0;
+  }
+  [[nodiscard]] proto::jobs::JobState state_of(std::uint32_t number) const {
+    return m_fixture.log.jobs.find(job_id(number))->state();
+  }
+  [[nodiscard]] bool is_open(std::uint32_t number) const {
+    const proto::jobs::JobState state = state_of(number);
+    return state == proto::jobs::JobState::QUEUED || state == proto::jobs::JobState::RUNNING;
+  }
+  [[nodiscard]] bool is_open_and_sound(std::uint32_t number) const {
+    return kind_of(number) != WaitingJob::deadly && is_open(number);
+  }
+
+  /// Less than half of the ready workers' processors is in use, by runs of any kind.
+  [[nodiscard]] bool is_mostly_free() {
+    std::uint64_t capacity = 0;
+    std::uint64_t used = 0;
+    for (const auto& [id, worker] : m_fixture.fleet.all()) {
+      const bool ready = !worker->crashed && worker->entry.state == WorkerState::ready;
+      capacity += ready ? worker->entry.capacity.cpu_millis : 0;
+      for (const FakeRun& run : worker->runs) {
+        used += m_shape.sizes.of(number_of(run.task.job));
+      }
+    }
+    return 2 * used < capacity;
+  }
+
+  void measure_wait(TimePoint since) {
+    m_figures.longest_wait = std::max(m_figures.longest_wait, now() - since);
+  }
+
+  [[nodiscard]] bool has_exhausted_attempts(std::uint32_t number) const {
+    constexpr std::uint32_t k_attempts = 3;  // as JobBuilder sets them
+    for (std::uint32_t i = 0; i < k_waiting_lasting_tasks; ++i) {
+      if (m_fixture.fleet.counts_of({job_id(number), 0, 0, i}).failures >= k_attempts) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  void note_crash(const FakeWorker& worker) {
+    ++m_figures.crashes;
+    m_figures.runs_lost += static_cast<std::uint64_t>(std::count_if(
+        worker.runs.begin(), worker.runs.end(),
+        [](const FakeRun& run) { return kind_of(number_of(run.task.job)) != WaitingJob::deadly; }));
+    std::erase_if(m_crashed_at,
+                  [this](TimePoint time) { return time + m_fixture.fleet.return_delay <= now(); });
+    m_crashed_at.push_back(now());
+    m_figures.most_down = std::max(m_figures.most_down, m_crashed_at.size());
+  }
+
+  const WaitingSoakShape& m_shape;
+  FleetFixture& m_fixture;
+  std::map<std::uint32_t, TimePoint> m_submitted_at;  // by job
+  std::map<std::uint32_t, TimePoint> m_run_at;        // last run seen, by job
+  std::map<std::string, TimePoint> m_task_run_at;     // the same, by task
+  std::vector<TimePoint> m_crashed_at;                // of workers down by a task
+  WaitingFigures m_figures;
+};
+
+}  // namespace arbutusdale::sched
