--- a/src/arbutusdale/sched/waiting_known_red.cpp
+++ b/src/arbutusdale/sched/waiting_known_red.cpp
@@ -4,27 +4,7 @@
 
 using namespace arbutusdale::sched;
 
-// Guards against tasks that wait after a storm has made many of them suspects.
-Test(waiting, no_task_waits_after_a_storm) {
-  expect_no_task_waits(storm_shape(), {.first = 20, .count = 40});
-}
-
 // Guards against sound suspects that wait behind tasks that crash their workers.
 Test(waiting, no_task_waits_behind_deadly_tasks) {
   expect_no_task_waits(deadly_shape(), {.first = 1, .count = 30});
 }
-
-// Guards against a number of places for suspects that is too small after a storm in a wide fleet.
-Test(waiting, no_task_waits_after_a_storm_in_a_wide_fleet) {
-  expect_no_task_waits(wide_shape(), {.first = 1, .count = 10});
-}
-
-// Guards against tasks that wait after all workers of a rack have crashed at one time.
-Test(waiting, no_task_waits_after_crashes_of_racks) {
-  expect_no_task_waits(rack_shape(), {.first = 70, .count = 40});
-}
-
-// Guards against large tasks that wait behind small ones after a storm.
-Test(waiting, no_task_waits_after_a_storm_among_tasks_of_several_sizes) {
-  expect_no_task_waits(sizes_shape(), {.first = 30, .count = 40});
-}
