--- a/include/arbutusdale/sched/placement.hpp
+++ b/include/arbutusdale/sched/placement.hpp
@@ -53,7 +53,8 @@
   max_per_worker,
   rack,
   capacity,
-  interference,  ///< the image may disturb its serving tasks
+  reserved_room,  ///< the task would take room that is reserved for a lasting one
+  interference,   ///< the image may disturb its serving tasks
   ticket,
 };
 
--- a/include/arbutusdale/sched/scheduler.hpp
+++ b/include/arbutusdale/sched/scheduler.hpp
@@ -212,6 +212,8 @@
   /// The same for any other task; all members of a gang are started together.
   Visit visit_ordinary_task(Task& task, RoundState& round);
   void update_scarcity();
+  /// Reserves room for lasting tasks that have waited for a while.
+  void reserve_room();
 
   // Log lines on tasks that wait, scheduler_waiting.cpp.
   [[nodiscard]] const Task* find_longest_waiting_task() const;
--- a/include/arbutusdale/sched/task_table.hpp
+++ b/include/arbutusdale/sched/task_table.hpp
@@ -151,6 +151,7 @@
   std::uint32_t tasks_done = 0;
   std::string chosen_rack;          // of a same-rack step: the rack of its first start
   TimePoint next_full_search_at{};  // see PlacementRound
+  TimePoint next_room_search_at{};  // see update_room_reservations
   std::vector<Task> tasks;
 
   [[nodiscard]] bool is_done() const { return tasks_done == tasks.size(); }
--- a/include/arbutusdale/sched/worker_table.hpp
+++ b/include/arbutusdale/sched/worker_table.hpp
@@ -42,6 +42,16 @@
   TimePoint sent_at{};
 };
 
+/// Room on a worker that is kept free for a lasting task, see room_reservation.hpp.
+struct RoomReservation {
+  const Step* step = nullptr;  // null: none; it may be gone, and is compared only
+  Resources need;
+  TimePoint reserved_at{};
+};
+
+/// Resources that a run of the step's tasks keeps other tasks from.
+Resources reserved_resources(const Step& step);
+
 struct Worker {
   WorkerSlot slot = 0;
   WorkerEntry entry;
@@ -84,6 +94,7 @@
   std::uint32_t isolated_runs = 0;       // see Isolation
   TimePoint last_start_at{};             // of any task
   TimePoint reserved_until{};            // no starts but those of suspects before
+  RoomReservation room;
 
   ThrottleControl throttle_control;
   bool polled_frequently = false;  // because it runs harmful opportunistic tasks
@@ -104,6 +115,8 @@
   /// without an answer, and the stored roster names it.
   [[nodiscard]] bool is_reachable(TimePoint now) const;
   [[nodiscard]] bool has_label(const std::string& label) const;
+  /// Room that is kept free for tasks of another step.
+  [[nodiscard]] Resources room_kept_from(const Step& step) const;
   /// Number of runs of the step's tasks.
   [[nodiscard]] std::uint32_t runs_of(const Step& step) const;
   /// Processors that no run is expected to use, in thousandths; negative when overcommitted.
--- a/src/arbutusdale/sched/placement.cpp
+++ b/src/arbutusdale/sched/placement.cpp
@@ -90,17 +90,25 @@
   return idle >= need * k_min_idle_share;
 }
 
-Exclusion capacity_exclusion(const PlacementView& view, const Worker& worker, const Task& task) {
-  const Step& step = *task.step;
-  Resources need = step.need;
+bool fits_beside_reserved_room(const Worker& worker, const Step& step) {
+  Resources need = plus(reserved_resources(step), worker.room_kept_from(step));
   if (step.spec->opportunistic()) {
     need.cpu_millis = 0;
   }
+  return fits(need, minus(worker.entry.capacity, worker.committed));
+}
+
+Exclusion capacity_exclusion(const PlacementView& view, const Worker& worker, const Task& task) {
+  const Step& step = *task.step;
+  const Resources need = reserved_resources(step);
   // The difference is zero where the capacity has shrunk below what is committed.
   if (!fits(worker.committed, worker.entry.capacity) ||
       !fits(need, minus(worker.entry.capacity, worker.committed))) {
     return Exclusion::capacity;
   }
+  if (!fits_beside_reserved_room(worker, step)) {
+    return Exclusion::reserved_room;
+  }
   if (!step.spec->opportunistic()) {
     return Exclusion::none;
   }
--- a/src/arbutusdale/sched/scheduler.cpp
+++ b/src/arbutusdale/sched/scheduler.cpp
@@ -373,6 +373,7 @@
   m_ready.refresh(m_timer.now());
   move_waiting_jobs();
   update_scarcity();
+  reserve_room();
   update_suspect_group_size();
   update_typical_speed();
   log_waiting_task();
--- a/src/arbutusdale/sched/scheduler_orders.cpp
+++ b/src/arbutusdale/sched/scheduler_orders.cpp
@@ -64,6 +64,9 @@
   task.phase = TaskPhase::active;
   worker.add_run(task, number, run.isolation);
   worker.last_start_at = now;
+  if (worker.room.step == &step) {
+    worker.room = {};
+  }
 
   observe::record_timing(observe::Timing::start_wait, now - task.ready_at);
   EventLine(Event::run_ordered)
--- a/src/arbutusdale/sched/scheduler_placement.cpp
+++ b/src/arbutusdale/sched/scheduler_placement.cpp
@@ -1,6 +1,7 @@
 // Placement rounds: which waiting task is started on which worker.
 #include "arbutusdale/sched/placement.hpp"
 #include "arbutusdale/sched/placement_round.hpp"
+#include "arbutusdale/sched/room_reservation.hpp"
 #include "arbutusdale/sched/scheduler.hpp"
 
 #include <algorithm>
@@ -33,6 +34,9 @@
 // Within this time all suspects with a single crash are started, in groups if there are many. It is
 // shorter than the time after which a job counts as stuck.
 constexpr Duration k_max_suspect_wait = 4 * k_isolation_time;
+// A lasting task that has waited this long gets room reserved, so that it starts before its job
+// counts as stuck.
+constexpr Duration k_room_reservation_delay = std::chrono::seconds{1};
 constexpr Duration k_reservation_time = k_settling_time + std::chrono::milliseconds{200};
 
 }  // namespace
@@ -218,6 +222,30 @@
   m_scarcity.update(m_workers, m_interference, waiting, m_timer.now());
 }
 
+void Scheduler::reserve_room() {
+  const TimePoint now = m_timer.now();
+  const bool may_start_taken_over = may_start_taken_over_jobs();
+  std::vector<Task*> waiting;
+  m_ready.for_each([&](Task& task) {
+    const Step& step = *task.step;
+    if (!step.spec->long_running()) {
+      return Visit::stop;  // the lasting ones come first
+    }
+    const bool may_start_any = !step.job->taken_over || may_start_taken_over;
+    if (step.spec->opportunistic() || step.spec->gang() || !may_start_any) {
+      return Visit::next_step;
+    }
+    if (now - task.ready_at >= k_room_reservation_delay && now >= task.not_before) {
+      waiting.push_back(&task);
+    }
+    return Visit::next_task;
+  });
+  std::stable_sort(waiting.begin(), waiting.end(), [](const Task* left, const Task* right) {
+    return left->ready_at < right->ready_at;
+  });
+  update_room_reservations(placement_view(), m_workers, waiting);
+}
+
 bool Scheduler::place_task(Task& task, PlacementRound& round) {
   const auto slot = round.choose(task);
   if (!slot) {
--- a/src/arbutusdale/sched/scheduler_waiting.cpp
+++ b/src/arbutusdale/sched/scheduler_waiting.cpp
@@ -2,6 +2,7 @@
 #include "arbutusdale/core/enum_names.hpp"
 #include "arbutusdale/observe/event_log.hpp"
 #include "arbutusdale/sched/placement.hpp"
+#include "arbutusdale/sched/room_reservation.hpp"
 #include "arbutusdale/sched/scheduler.hpp"
 
 #include <algorithm>
@@ -21,7 +22,7 @@
 constexpr Duration k_reported_wait = std::chrono::seconds{2};
 constexpr Duration k_report_interval = std::chrono::seconds{1};
 
-constexpr EnumNames<Exclusion, 16> k_exclusion_names{{
+constexpr EnumNames<Exclusion, 17> k_exclusion_names{{
     {Exclusion::none, "none"},
     {Exclusion::late_start, "late_start"},
     {Exclusion::service, "service"},
@@ -36,6 +37,7 @@
     {Exclusion::max_per_worker, "max_per_worker"},
     {Exclusion::rack, "rack"},
     {Exclusion::capacity, "capacity"},
+    {Exclusion::reserved_room, "reserved_room"},
     {Exclusion::interference, "interference"},
     {Exclusion::ticket, "ticket"},
 }};
@@ -126,6 +128,7 @@
       .add("fleet_is_idle", m_fleet_is_idle ? 1 : 0)
       .add("may_start", may_start() ? 1 : 0)
       .add("starts_in_flight", m_starts_in_flight)
+      .add("expected_rooms", count_expected_rooms(placement_view(), *task))
       .add("excluded", count_exclusions(placement_view(), *task))
       .write();
 }
--- a/src/arbutusdale/sched/worker_table.cpp
+++ b/src/arbutusdale/sched/worker_table.cpp
@@ -14,6 +14,8 @@
 constexpr Duration k_first_quarantine = std::chrono::seconds{2};
 constexpr std::uint32_t k_max_doublings = 2;
 
+}  // namespace
+
 Resources reserved_resources(const Step& step) {
   Resources reserved = step.need;
   if (step.spec->opportunistic()) {
@@ -22,8 +24,6 @@
   return reserved;
 }
 
-}  // namespace
-
 bool Worker::is_reachable(TimePoint now) const {
   return has_answered && in_roster && !needs_poll && now - last_answer <= k_reachable_timeout;
 }
@@ -32,6 +32,10 @@
   return std::find(entry.labels.begin(), entry.labels.end(), label) != entry.labels.end();
 }
 
+Resources Worker::room_kept_from(const Step& step) const {
+  return room.step == &step ? Resources{} : room.need;
+}
+
 std::uint32_t Worker::runs_of(const Step& step) const {
   const auto count = std::count_if(runs.begin(), runs.end(),
                                    [&step](const RunRef& run) { return run.task->step == &step; });
