--- a/include/arbutusdale/sched/scheduler.hpp
+++ b/include/arbutusdale/sched/scheduler.hpp
@@ -214,7 +214,7 @@
   /// Starts the task if it may start now and a worker is found for it.
   Visit visit_task(Task& task, RoundState& round);
   /// The same for a task that may have crashed a worker.
-  void visit_suspect(Task& task, RoundState& round);
+  Visit visit_suspect(Task& task, RoundState& round);
   /// The same for any other task; all members of a gang are started together.
   Visit visit_ordinary_task(Task& task, RoundState& round);
   void update_scarcity();
--- a/src/arbutusdale/sched/scheduler_placement.cpp
+++ b/src/arbutusdale/sched/scheduler_placement.cpp
@@ -57,6 +57,7 @@
   TimePoint now;
   bool may_start_taken_over = false;
   bool batch_due = false;                    // opportunistic tasks are placed
+  bool in_turn = false;                      // the pass goes on where an earlier one ended
   bool left_out = false;                     // the pass has not examined all tasks
   std::size_t unplaced_steps = 0;            // found without a worker in this pass
   std::size_t unplaced_suspects = 0;         // the same
@@ -112,6 +113,7 @@
   // Every round begins with the most urgent steps. Those that can't be placed may stay for good, so
   // what is behind them has its turn, too. Opportunistic tasks do so only when they are due.
   if (round.batch_due && std::exchange(round.left_out, false)) {
+    round.in_turn = true;
     round.unplaced_steps = 0;
     round.unplaced_suspects = 0;
     m_ready.for_each_in_turn(visit);
@@ -150,28 +152,32 @@
     return Visit::next_task;
   }
   if (task.crashes.is_suspect() && !step.spec->gang()) {
-    visit_suspect(task, round);
-    return Visit::next_task;
+    return visit_suspect(task, round);
   }
   return visit_ordinary_task(task, round);
 }
 
-void Scheduler::visit_suspect(Task& task, RoundState& round) {
+// A pass that begins with the most urgent steps goes on to tasks that are no suspects. The one in
+// turn ends, so that the next one begins with the suspects that this one has not examined.
+Visit Scheduler::visit_suspect(Task& task, RoundState& round) {
   if (round.examined_suspects.contains(&task)) {
-    return;
+    return Visit::next_task;
   }
   if (round.unplaced_suspects >= k_max_unplaced_suspects) {
-    round.left_out = true;
     task.delay = StartDelay::round_limit;
-    return;
+    return Visit::next_task;
   }
   round.examined_suspects.insert(&task);
   m_suspects_wait = true;
   if (place_suspect(task)) {
-    return;
+    return Visit::next_task;
   }
-  ++round.unplaced_suspects;
   round.note_unadvised(*task.step);
+  if (++round.unplaced_suspects < k_max_unplaced_suspects) {
+    return Visit::next_task;
+  }
+  round.left_out = true;
+  return round.in_turn ? Visit::stop : Visit::next_task;
 }
 
 Visit Scheduler::visit_ordinary_task(Task& task, RoundState& round) {
--- a/src/arbutusdale/sched/suspect_limit_test.cpp
+++ b/src/arbutusdale/sched/suspect_limit_test.cpp
@@ -109,3 +109,43 @@
   f.expect_completed(1, k_sound_jobs);
   f.expect_nothing_doubled();
 }
+
+// Guards against suspects that are never examined, since others before and behind them in the queue
+// fit on no worker.
+Test(suspect_limit, suspects_between_others_that_fit_nowhere_start_in_time) {
+  constexpr std::uint32_t k_sound_jobs = 4;
+  constexpr std::uint32_t k_others = 20;
+  CrashFixture f(k_workers, k_cpu_millis);
+  f.lead();
+  f.timer.advance(1s);
+  const auto submit_labelled = [&f](std::uint32_t number, const char* label) {
+    f.lasting.insert(job_id(number));
+    JobBuilder job(number);
+    auto& step = job.step(1, 500);
+    step.set_long_running(true);
+    step.set_required_label(label);
+    f.submit(job);
+    f.timer.advance(2ms);
+  };
+  for (std::uint32_t i = 1; i <= k_others; ++i) {
+    submit_labelled(500 + i, "r0");
+  }
+  for (std::uint32_t i = 1; i <= k_sound_jobs; ++i) {
+    submit_labelled(i, "r1");
+  }
+  for (std::uint32_t i = 1; i <= k_others; ++i) {
+    submit_labelled(600 + i, "r0");
+  }
+  f.timer.advance(150ms);
+  for (const char* id : {"w00", "w01", "w02", "w03"}) {
+    f.fleet.at(id).entry.capacity.cpu_millis = 100;  // when it returns
+    f.fleet.crash_and_return(id);
+  }
+  for (const char* id : {"w04", "w05", "w06", "w07"}) {
+    f.fleet.crash_and_return(id);
+  }
+  f.timer.advance(f.fleet.return_delay + 200ms + k_longest_wait);
+  for (std::uint32_t i = 1; i <= k_sound_jobs; ++i) {
+    cr_expect_eq(f.running_tasks(i), 1U, "job %u", i);
+  }
+}
