--- a/include/arbutusdale/sched/placement.hpp
+++ b/include/arbutusdale/sched/placement.hpp
@@ -9,11 +9,13 @@
 #include "arbutusdale/core/clock.hpp"
 #include "arbutusdale/sched/interference.hpp"
 #include "arbutusdale/sched/serving_affinity.hpp"
+#include "arbutusdale/sched/start_window.hpp"
 #include "arbutusdale/sched/task_table.hpp"
 #include "arbutusdale/sched/ticket_cache.hpp"
 #include "arbutusdale/sched/worker_scarcity.hpp"
 #include "arbutusdale/sched/worker_table.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -35,6 +37,8 @@
   bool ignores_recent_starts = false;
   /// Allows suspects only on workers that run a group of fewer ones, unless zero.
   std::uint32_t joins_group_below = 0;
+  /// Starts that one worker may leave unanswered at a time.
+  std::size_t max_starts_per_worker = k_max_starts_in_flight;
 };
 
 /// Why a worker does not run a task now.
@@ -47,6 +51,7 @@
   withheld,      ///< an order to its earlier incarnation may still be carried out
   quarantined,   ///< runs have failed there in a row
   refused,       ///< it has just refused a start
+  unanswered,    ///< as many starts as it may have at a time are in flight
   unwanted_run,  ///< it has a run that is not expected there
   suspect,       ///< it runs a suspect alone, is reserved for one, or is not quiet enough for one
   label,
--- a/include/arbutusdale/sched/scheduler.hpp
+++ b/include/arbutusdale/sched/scheduler.hpp
@@ -228,7 +228,9 @@
   void update_suspect_group_size();
   [[nodiscard]] std::size_t max_isolated_workers() const;
   [[nodiscard]] bool may_isolate() const;
-  void release_start_slot();
+  /// True when an answer must come before another start is sent.
+  [[nodiscard]] bool is_start_window_full() const;
+  void release_start_slot(Worker& worker);
   [[nodiscard]] std::uint32_t next_run_number(const Task& task) const;
 
   // Orders and their answers, scheduler_orders.cpp.
--- a/include/arbutusdale/sched/worker_table.hpp
+++ b/include/arbutusdale/sched/worker_table.hpp
@@ -3,6 +3,7 @@
 
 #include "arbutusdale/core/clock.hpp"
 #include "arbutusdale/core/resources.hpp"
+#include "arbutusdale/sched/start_window.hpp"
 #include "arbutusdale/sched/task_table.hpp"
 #include "arbutusdale/sched/throttle_control.hpp"
 #include "arbutusdale/sched/worker_lease.hpp"
@@ -92,6 +93,10 @@
   std::uint32_t quarantines = 0;  // in a row
   TimePoint quarantined_until{};
   TimePoint backoff_until{};  // no starts before, after a refused one
+  std::size_t starts_in_flight = 0;
+  TimePoint start_awaited_since{};      // the last answer to one, or the sending of the first
+  std::uint32_t unanswered_starts = 0;  // in a row
+  TimePoint start_unanswered_at{};      // the last one
   /// Smoothed speed of its runs with reserved resources, as a multiple of their estimates.
   double speed = 1;
   TimePoint speed_sampled_at{};
@@ -126,6 +131,20 @@
   /// True when an unanswered start of any run of the task may still be carried out.
   [[nodiscard]] bool may_still_start(const jobs::TaskId& task, TimePoint now) const;
 
+  void note_start_sent(TimePoint now);
+  /// Counts the result of a start of any run.
+  void note_start_result(StartResult result, TimePoint now);
+  /// Starts in flight, if it has answered none of them in time.
+  [[nodiscard]] std::size_t overdue_starts(TimePoint now) const {
+    return now - start_awaited_since > k_timely_answer ? starts_in_flight : 0;
+  }
+  /// Starts that may be in flight to the worker. One, while it leaves starts unanswered.
+  [[nodiscard]] std::size_t max_starts_in_flight(std::size_t limit) const {
+    return unanswered_starts > 0 ? 1 : limit;
+  }
+  /// True when it has left a start unanswered lately and has answered none since.
+  [[nodiscard]] bool leaves_starts_unanswered(TimePoint now) const;
+
   /// Remembers that a poll or start that was sent to `incarnation` at `sent_at` may still be
   /// carried out. It must carry a lease or an acknowledgement.
   void note_unanswered_order(std::uint64_t incarnation, TimePoint sent_at);
--- a/src/arbutusdale/sched/placement.cpp
+++ b/src/arbutusdale/sched/placement.cpp
@@ -11,6 +11,7 @@
 constexpr double k_failed_task_penalty = 10;
 constexpr double k_failure_penalty = 2;
 constexpr double k_slow_penalty = 4;
+constexpr double k_unanswered_penalty = 4;
 constexpr double k_mixing_penalty = 1;
 // Share of the workers that serving tasks leave free for opportunistic ones while there is capacity
 // elsewhere, even beside serving tasks of other images.
@@ -143,6 +144,9 @@
   if (by_worker != Exclusion::none) {
     return by_worker;
   }
+  if (worker.starts_in_flight >= worker.max_starts_in_flight(view.max_starts_per_worker)) {
+    return Exclusion::unanswered;
+  }
   const bool is_isolated = worker.isolated_runs > 0 && view.joins_group_below == 0;
   if (is_isolated || !may_start_beside_suspects(view, worker, task)) {
     return Exclusion::suspect;
@@ -210,6 +214,9 @@
   if (view.now < worker.slow_until) {
     cost += k_slow_penalty;
   }
+  if (worker.leaves_starts_unanswered(view.now)) {
+    cost += k_unanswered_penalty;
+  }
   if (step.spec->opportunistic()) {
     return cost + image_cost(view, worker, step.image);
   }
--- a/src/arbutusdale/sched/scheduler_orders.cpp
+++ b/src/arbutusdale/sched/scheduler_orders.cpp
@@ -128,16 +128,18 @@
   }
   const WorkerEndpoint endpoint = worker.endpoint();
   ++m_starts_in_flight;
+  worker.note_start_sent(m_timer.now());
   const TimePoint sent = m_timer.now();
   m_orders.start(endpoint, order,
                  [this, alive = m_alive, id = order.task, number = run.number, endpoint,
                   slot = run.worker, sent](const tl::expected<OrderReply, OrderError>& reply) {
                    if (*alive) {
                      const bool lost = !reply && reply.error().reason == OrderFailure::unknown;
-                     release_start_slot();
-                     m_start_window.on_result(
-                         lost ? StartResult::unanswered : StartResult::answered, sent,
-                         m_timer.now());
+                     const StartResult result =
+                         lost ? StartResult::unanswered : StartResult::answered;
+                     release_start_slot(m_workers.at(slot));
+                     m_workers.at(slot).note_start_result(result, m_timer.now());
+                     m_start_window.on_result(result, sent, m_timer.now());
                      observe::record_timing(observe::Timing::start_call, m_timer.now() - sent);
                      if (!reply && reply.error().reason == OrderFailure::unknown) {
                        Worker& used = m_workers.at(slot);
--- a/src/arbutusdale/sched/scheduler_placement.cpp
+++ b/src/arbutusdale/sched/scheduler_placement.cpp
@@ -125,7 +125,7 @@
 
 Visit Scheduler::visit_task(Task& task, RoundState& round) {
   task.examined_at = round.now;
-  if (m_starts_in_flight >= m_start_window.size()) {
+  if (is_start_window_full()) {
     round.left_out = false;  // an answer starts the next round
     task.delay = StartDelay::start_window;
     return Visit::stop;
@@ -197,7 +197,9 @@
 }
 
 PlacementView Scheduler::placement_view() const {
-  return {m_workers, m_interference, m_scarcity, m_affinity, m_tickets, m_timer.now()};
+  PlacementView view{m_workers, m_interference, m_scarcity, m_affinity, m_tickets, m_timer.now()};
+  view.max_starts_per_worker = m_start_window.max_per_worker();
+  return view;
 }
 
 void Scheduler::update_scarcity() {
@@ -371,8 +373,21 @@
   return true;
 }
 
-void Scheduler::release_start_slot() {
-  m_place_due = m_place_due || m_starts_in_flight >= m_start_window.size();
+bool Scheduler::is_start_window_full() const {
+  if (m_starts_in_flight < m_start_window.size()) {
+    return false;
+  }
+  std::size_t overdue = 0;
+  for (const auto& worker : m_workers.all()) {
+    overdue += worker->overdue_starts(m_timer.now());
+  }
+  return m_start_window.is_full(m_starts_in_flight, overdue);
+}
+
+void Scheduler::release_start_slot(Worker& worker) {
+  const std::size_t limit = worker.max_starts_in_flight(m_start_window.max_per_worker());
+  m_place_due = m_place_due || m_starts_in_flight >= m_start_window.size() ||
+                worker.starts_in_flight >= limit;
   --m_starts_in_flight;
 }
 
--- a/src/arbutusdale/sched/scheduler_polling.cpp
+++ b/src/arbutusdale/sched/scheduler_polling.cpp
@@ -200,6 +200,7 @@
   abandon_poll(worker);
   worker.foreign_order_at = std::max(worker.foreign_order_at, worker.unanswered_order_at);
   worker.unanswered_order_at = TimePoint{};
+  worker.unanswered_starts = 0;
   worker.withheld_until = TimePoint{};
   withhold_if_unreliable(worker);
   for (const RunRef& ref : std::vector<RunRef>(worker.runs)) {
--- a/src/arbutusdale/sched/scheduler_waiting.cpp
+++ b/src/arbutusdale/sched/scheduler_waiting.cpp
@@ -21,7 +21,7 @@
 constexpr Duration k_reported_wait = std::chrono::seconds{2};
 constexpr Duration k_report_interval = std::chrono::seconds{1};
 
-constexpr EnumNames<Exclusion, 16> k_exclusion_names{{
+constexpr EnumNames<Exclusion, 17> k_exclusion_names{{
     {Exclusion::none, "none"},
     {Exclusion::late_start, "late_start"},
     {Exclusion::service, "service"},
@@ -30,6 +30,7 @@
     {Exclusion::withheld, "withheld"},
     {Exclusion::quarantined, "quarantined"},
     {Exclusion::refused, "refused"},
+    {Exclusion::unanswered, "unanswered"},
     {Exclusion::unwanted_run, "unwanted_run"},
     {Exclusion::suspect, "suspect"},
     {Exclusion::label, "label"},
--- a/src/arbutusdale/sched/start_window.cpp
+++ b/src/arbutusdale/sched/start_window.cpp
@@ -6,8 +6,6 @@
 namespace arbutusdale::sched {
 namespace {
 
-// Half the time limit of a start: later answers show that a larger window would lose some.
-constexpr Duration k_timely_answer = std::chrono::milliseconds{150};
 // The window is halved when this share of a sample of starts, but at least this number, is
 // unanswered. The number is what a small window may lose to the network alone.
 constexpr std::size_t k_unanswered_divisor = 10;
@@ -32,13 +30,19 @@
     }
     return;
   }
-  if (now - sent > k_timely_answer || ++m_answered_in_time < m_size) {
+  m_last_answer_in_time = now - sent <= k_timely_answer;
+  if (!m_last_answer_in_time || ++m_answered_in_time < m_size) {
     return;
   }
   m_answered_in_time = 0;
   m_size = std::min(m_size + 1, k_max_starts_in_flight);
 }
 
+bool StartWindow::is_full(std::size_t in_flight, std::size_t overdue) const {
+  const std::size_t spared = m_last_answer_in_time ? std::min(overdue, m_size) : 0;
+  return in_flight >= std::min(m_size + spared, k_max_starts_in_flight);
+}
+
 void StartWindow::halve(TimePoint now) {
   m_shrunk_at = now;
   m_answered_in_time = 0;
--- a/src/arbutusdale/sched/start_window_test.cpp
+++ b/src/arbutusdale/sched/start_window_test.cpp
@@ -74,3 +74,25 @@
   answer(window, 10'000, 280ms, k_now + 1s);
   cr_assert_eq(window.size(), k_max_starts_in_flight / 2);
 }
+
+// Guards against starts to silent workers that hold up those to workers that answer, and against
+// twice as many starts in flight in a leader that handles answers late.
+Test(start_window, overdue_starts_do_not_fill_it_while_others_are_answered_in_time) {
+  StartWindow window;
+  for (int i = 0; i < 20; ++i) {
+    const TimePoint now = k_now + i * 1s;
+    window.on_result(StartResult::unanswered, now - 300ms, now);
+  }
+  answer(window, 1, 5ms);
+  cr_assert_not(window.is_full(k_min_starts_in_flight, k_min_starts_in_flight));
+  cr_assert(window.is_full(k_min_starts_in_flight, 0));
+  cr_assert(window.is_full(2 * k_min_starts_in_flight, 2 * k_min_starts_in_flight));
+  answer(window, 1, 200ms);
+  cr_assert(window.is_full(k_min_starts_in_flight, k_min_starts_in_flight));
+}
+
+// Guards against more starts in flight than the leader and the workers carry.
+Test(start_window, overdue_starts_do_not_raise_its_ceiling) {
+  const StartWindow window;
+  cr_assert(window.is_full(k_max_starts_in_flight, k_max_starts_in_flight));
+}
--- a/src/arbutusdale/sched/worker_table.cpp
+++ b/src/arbutusdale/sched/worker_table.cpp
@@ -13,6 +13,8 @@
 constexpr std::uint32_t k_failures_for_quarantine = 2;
 constexpr Duration k_first_quarantine = std::chrono::seconds{2};
 constexpr std::uint32_t k_max_doublings = 2;
+// A worker that leaves a start unanswered is avoided for this long, unless it answers one.
+constexpr Duration k_unanswered_penalty_time = std::chrono::seconds{5};
 
 Resources reserved_resources(const Step& step) {
   Resources reserved = step.need;
@@ -119,6 +121,27 @@
   });
 }
 
+void Worker::note_start_sent(TimePoint now) {
+  if (starts_in_flight++ == 0) {
+    start_awaited_since = now;
+  }
+}
+
+void Worker::note_start_result(StartResult result, TimePoint now) {
+  --starts_in_flight;
+  if (result == StartResult::answered) {
+    start_awaited_since = now;
+    unanswered_starts = 0;
+    return;
+  }
+  ++unanswered_starts;
+  start_unanswered_at = now;
+}
+
+bool Worker::leaves_starts_unanswered(TimePoint now) const {
+  return unanswered_starts > 0 && now - start_unanswered_at < k_unanswered_penalty_time;
+}
+
 void Worker::note_unanswered_order(std::uint64_t incarnation, TimePoint sent_at) {
   TimePoint& last = incarnation == entry.incarnation ? unanswered_order_at : foreign_order_at;
   last = std::max(last, sent_at);
