--- a/include/arbutusdale/sched/scheduler.hpp
+++ b/include/arbutusdale/sched/scheduler.hpp
@@ -237,7 +237,9 @@
   /// The limit for a suspect that has waited for this time.
   [[nodiscard]] IsolationLimit isolation_limit(Duration waited) const;
   [[nodiscard]] bool may_isolate(const Task& task) const;
-  void release_start_slot();
+  /// True when an answer must come before another start is sent.
+  [[nodiscard]] bool is_start_window_full() const;
+  void release_start_slot(Worker& worker);
   [[nodiscard]] std::uint32_t next_run_number(const Task& task) const;
 
   // Orders and their answers, scheduler_orders.cpp.
--- a/src/arbutusdale/sched/scheduler_waiting.cpp
+++ b/src/arbutusdale/sched/scheduler_waiting.cpp
@@ -31,6 +31,7 @@
     {Exclusion::withheld, "withheld"},
     {Exclusion::quarantined, "quarantined"},
     {Exclusion::refused, "refused"},
+    {Exclusion::unanswered, "unanswered"},
     {Exclusion::unwanted_run, "unwanted_run"},
     {Exclusion::suspect, "suspect"},
     {Exclusion::label, "label"},
