--- a/src/arbutusdale/sched/scheduler_waiting.cpp
+++ b/src/arbutusdale/sched/scheduler_waiting.cpp
@@ -22,7 +22,7 @@
 constexpr Duration k_reported_wait = std::chrono::seconds{2};
 constexpr Duration k_report_interval = std::chrono::seconds{1};
 
-constexpr EnumNames<Exclusion, 17> k_exclusion_names{{
+constexpr EnumNames<Exclusion, 18> k_exclusion_names{{
     {Exclusion::none, "none"},
     {Exclusion::late_start, "late_start"},
     {Exclusion::service, "service"},
