--- a/include/arbutusdale/observe/event_log.hpp
+++ b/include/arbutusdale/observe/event_log.hpp
@@ -22,6 +22,7 @@
   dependency_regained,
   request_repeated,
   append_resolved,
+  record_too_large,
   configuration_applied,
   job_moved,
   shard_layout_known,
--- a/include/arbutusdale/store/group_commit.hpp
+++ b/include/arbutusdale/store/group_commit.hpp
@@ -54,7 +54,9 @@
   GroupCommit& operator=(const GroupCommit&) = delete;
   ~GroupCommit();
 
-  /// Calls `done` once, at the latest in the first `expire()` after `deadline`.
+  /// Calls `done` once, at the latest in the first `expire()` after `deadline`. Entries that
+  /// exceed the store's limit for one append are stored by several, in their order; the outcome is
+  /// `stored` once all are. Refused at once if the store takes no record as large as one of them.
   void write(std::vector<KeyedValue> entries, TimePoint deadline, Done done);
 
   /// Completes the writes whose deadline has passed; call it at least every 100 ms.
@@ -76,6 +78,11 @@
     Done done;  // empty once it has been called
   };
 
+  /// The store never takes such a record.
+  [[nodiscard]] bool is_too_large(const KeyedValue& entry) const;
+  void log_too_large(const KeyedValue& entry) const;
+  /// Cuts the entries to what one append may hold, in their order.
+  [[nodiscard]] std::vector<std::vector<KeyedValue>> split(std::vector<KeyedValue> entries) const;
   void start_next_batch();
   void send_batch();
   void on_reply(const tl::expected<AppendReply, AppendError>& reply, TimePoint sent);
@@ -100,6 +107,7 @@
   const std::string m_producer;
   const std::optional<FailFastPolicy> m_fail_fast;  // empty: writes wait until their deadlines
   const EpochPolicy m_epoch_policy;
+  const std::size_t m_max_content_bytes;  // of one record
   const std::size_t m_max_batch_bytes;
   std::shared_ptr<bool> m_alive;
 
--- a/include/arbutusdale/store/metadata_store.hpp
+++ b/include/arbutusdale/store/metadata_store.hpp
@@ -4,6 +4,7 @@
 
 #include "arbutusdale/core/clock.hpp"
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -39,6 +40,13 @@
   return k_key_length_bytes + entry.key.size() + entry.value.size();
 }
 
+inline constexpr std::size_t k_max_key_bytes = 255;  // its length takes one byte
+
+/// The largest content of a record that the store takes.
+inline std::size_t max_content_bytes(const RecordLimits& limits) {
+  return std::min(limits.record, limits.append - std::min(limits.append, k_record_length_bytes));
+}
+
 struct Record {
   std::uint64_t offset = 0;
   KeyedValue entry;
--- a/src/arbutusdale/store/fake_store_test.hpp
+++ b/src/arbutusdale/store/fake_store_test.hpp
@@ -68,7 +68,9 @@
   bool empty_appends_count = true;
   /// A number of a producer's epoch has come with other records than before.
   bool number_was_reused = false;
-  Duration append_time{};  // of one append; a partition processes one at a time
+  Duration append_time{};              // of one append; a partition processes one at a time
+  std::optional<RecordLimits> limits;  // empty: records and appends of any size are taken
+  int too_large_appends = 0;           // number of appends refused for their size
 
   void append(AppendRequest request, AppendDone done) override {
     if (request.expected_end && request.stamp) {
@@ -222,6 +224,10 @@
     if (request.expected_end && *request.expected_end != target.records.size()) {
       return tl::unexpected(AppendError{AppendFailure::end_mismatch, target.records.size(), "end"});
     }
+    if (!is_within_limits(request)) {
+      ++too_large_appends;
+      return tl::unexpected(AppendError{AppendFailure::refused, 0, "too large"});
+    }
     ++appends;
     AppendReply reply{target.records.size(), 0};
     for (const KeyedValue& entry : request.entries) {
@@ -243,6 +249,20 @@
     return reply;
   }
 
+  [[nodiscard]] bool is_within_limits(const AppendRequest& request) const {
+    if (!limits) {
+      return true;
+    }
+    std::size_t bytes = 0;
+    for (const KeyedValue& entry : request.entries) {
+      if (content_bytes(entry) > limits->record) {
+        return false;
+      }
+      bytes += k_record_length_bytes + content_bytes(entry);
+    }
+    return bytes <= limits->append;
+  }
+
   void serve_read(const ReadRequest& request, TimePoint until, const ReadDone& done) {
     const Log& source = log(request.partition);
     if (down) {
--- a/src/arbutusdale/store/group_commit.cpp
+++ b/src/arbutusdale/store/group_commit.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <string_view>
 #include <utility>
 
 #include <fmt/format.h>
@@ -37,14 +38,45 @@
     {CommitOutcome::fenced, "fenced"},
 }};
 
+constexpr std::size_t k_max_logged_key_bytes = 64;
+
+std::size_t bytes_of(const KeyedValue& entry) {
+  return k_record_length_bytes + content_bytes(entry);
+}
+
 std::size_t bytes_of(const std::vector<KeyedValue>& entries) {
   std::size_t bytes = 0;
   for (const KeyedValue& entry : entries) {
-    bytes += k_record_length_bytes + content_bytes(entry);
+    bytes += bytes_of(entry);
   }
   return bytes;
 }
 
+/// Outcome of a write in two parts.
+CommitOutcome combine(CommitOutcome first, CommitOutcome second) {
+  if (first == second) {
+    return first;
+  }
+  const bool any_fenced = first == CommitOutcome::fenced || second == CommitOutcome::fenced;
+  return any_fenced ? CommitOutcome::fenced : CommitOutcome::unknown;
+}
+
+/// Called once for each of `parts`; calls `done` with the outcome of all.
+GroupCommit::Done join(std::size_t parts, GroupCommit::Done done) {
+  struct State {
+    std::size_t pending = 0;
+    std::optional<CommitOutcome> outcome;
+    GroupCommit::Done done;
+  };
+  const auto state = std::make_shared<State>(State{parts, std::nullopt, std::move(done)});
+  return [state](CommitOutcome outcome) {
+    state->outcome = combine(state->outcome.value_or(outcome), outcome);
+    if (--state->pending == 0) {
+      state->done(*state->outcome);
+    }
+  };
+}
+
 }  // namespace
 
 GroupCommit::GroupCommit(MetadataStore& store, Timer& timer, Partition partition,
@@ -57,6 +89,7 @@
       m_producer(std::move(producer)),
       m_fail_fast(fail_fast),
       m_epoch_policy(epoch_policy),
+      m_max_content_bytes(max_content_bytes(limits)),
       m_max_batch_bytes(std::min(k_max_batch_bytes, limits.append)),
       m_alive(std::make_shared<bool>(true)),
       m_epoch(epoch),
@@ -82,10 +115,50 @@
     done(CommitOutcome::refused);
     return;
   }
-  m_queued.push_back({std::move(entries), deadline, std::move(done)});
+  const auto too_large = std::find_if(entries.begin(), entries.end(),
+                                      [this](const auto& entry) { return is_too_large(entry); });
+  if (too_large != entries.end()) {
+    log_too_large(*too_large);
+    done(CommitOutcome::refused);
+    return;
+  }
+  std::vector<std::vector<KeyedValue>> parts = split(std::move(entries));
+  const Done part_done = parts.size() > 1 ? join(parts.size(), std::move(done)) : std::move(done);
+  for (std::vector<KeyedValue>& part : parts) {
+    m_queued.push_back({std::move(part), deadline, part_done});
+  }
   start_next_batch();
 }
 
+bool GroupCommit::is_too_large(const KeyedValue& entry) const {
+  return entry.key.size() > k_max_key_bytes || content_bytes(entry) > m_max_content_bytes;
+}
+
+void GroupCommit::log_too_large(const KeyedValue& entry) const {
+  EventLine(Event::record_too_large)
+      .add("topic", m_partition.topic)
+      .add("partition", m_partition.index)
+      .add("key", std::string_view(entry.key).substr(0, k_max_logged_key_bytes))
+      .add("bytes", content_bytes(entry))
+      .add("limit", m_max_content_bytes)
+      .write();
+}
+
+std::vector<std::vector<KeyedValue>> GroupCommit::split(std::vector<KeyedValue> entries) const {
+  std::vector<std::vector<KeyedValue>> parts(1);
+  std::size_t bytes = 0;
+  for (KeyedValue& entry : entries) {
+    const std::size_t added = bytes_of(entry);
+    if (!parts.back().empty() && bytes + added > m_max_batch_bytes) {
+      parts.emplace_back();
+      bytes = 0;
+    }
+    bytes += added;
+    parts.back().push_back(std::move(entry));
+  }
+  return parts;
+}
+
 bool GroupCommit::has_failed_for(Duration time) const {
   return m_failing_since && m_timer.now() - *m_failing_since >= time;
 }
