--- a/include/arbutusdale/sched/interference.hpp
+++ b/include/arbutusdale/sched/interference.hpp
@@ -7,6 +7,7 @@
 #include "arbutusdale/core/clock.hpp"
 #include "arbutusdale/jobs.pb.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -47,8 +48,9 @@
   /// Images of which there is evidence, in ascending order.
   [[nodiscard]] std::vector<ImageId> batch_images() const;
   [[nodiscard]] std::vector<ImageId> serving_images() const;
-  /// All evidence as a record for the next leader, and the reverse.
-  [[nodiscard]] proto::jobs::InterferenceEvidence save(TimePoint now) const;
+  /// A record for the next leader, of at most `max_bytes`: the pairs with the least evidence, and
+  /// pairs of very long names, are left out.
+  [[nodiscard]] proto::jobs::InterferenceEvidence save(TimePoint now, std::size_t max_bytes) const;
   void restore(const proto::jobs::InterferenceEvidence& evidence, TimePoint now);
 
  private:
--- a/include/arbutusdale/sched/scheduler.hpp
+++ b/include/arbutusdale/sched/scheduler.hpp
@@ -57,6 +57,8 @@
   Duration write_interval{};
   /// Least time between two records of interference evidence, if longer than the usual one.
   Duration evidence_interval{};
+  /// Content of the largest record that the store takes.
+  std::size_t max_record_bytes = store::max_content_bytes({});
 };
 
 /// Times after which the leader must not send orders, because another daemon may lead by then.
@@ -143,6 +145,12 @@
     std::uint32_t run = 0;
   };
 
+  /// A roster to be stored, and the workers that it names for the first time.
+  struct RosterUpdate {
+    store::KeyedValue entry;
+    std::vector<WorkerSlot> additions;
+  };
+
   /// Ended runs of a worker whose effects are part of a write.
   struct ProcessedEnds {
     WorkerSlot slot = 0;
@@ -168,17 +176,28 @@
   /// Time after which all leases of earlier leaders have expired.
   [[nodiscard]] TimePoint earlier_leases_expire_at() const;
 
-  // Storing of progress and of the roster, scheduler_storage.cpp.
+  // Storing of progress, scheduler_storage.cpp.
+  /// Largest value of a record.
+  [[nodiscard]] std::size_t max_value_bytes() const;
   void mark_dirty(Job& job);
   /// The job's starts are stored with the next write, or a little later.
   void mark_started(Job& job);
   void flush();
   [[nodiscard]] bool may_write_progress() const;
+  /// The job's progress, within what the store takes. A job whose progress never is fails.
+  jobs::JobProgress storable_progress(Job& job);
   [[nodiscard]] std::vector<ProcessedEnds> unstored_ends();
   void on_flushed(bool stored, const std::vector<jobs::JobId>& written,
                   const std::vector<ProcessedEnds>& processed);
-  [[nodiscard]] std::optional<store::KeyedValue> roster_entry();
+
+  // The roster of workers that may have runs, scheduler_roster.cpp.
   [[nodiscard]] bool may_have_runs(const Worker& worker) const;
+  [[nodiscard]] bool is_roster_outdated() const;
+  /// Workers that may get starts once the roster names them, and for which it has room.
+  [[nodiscard]] std::vector<WorkerSlot> find_roster_additions() const;
+  void note_workers_left_out(std::size_t count);
+  /// The new roster, if the stored one has to change.
+  [[nodiscard]] std::optional<RosterUpdate> roster_update();
 
   // Moves of jobs to other shards, scheduler_moves.cpp.
   /// What this shard, which has `room`, lacks for a job.
@@ -336,8 +355,9 @@
   std::set<WorkerSlot> m_unstored_workers;
   bool m_roster_check_due =
       true;  // at every tick, and when a worker has answered for the first time
-  TimePoint m_record_first_until{};  // starts are stored before they are sent
-  std::set<jobs::JobId> m_finished;  // jobs to remove once their end is stored
+  std::size_t m_workers_left_out = 0;  // of the roster, for lack of room
+  TimePoint m_record_first_until{};    // starts are stored before they are sent
+  std::set<jobs::JobId> m_finished;    // jobs to remove once their end is stored
   TimePoint m_started_at{};
   TimePoint m_evidence_saved_at{};
   TimePoint m_waiting_logged_at{};  // last line on a task that waits
--- a/include/arbutusdale/store/group_commit.hpp
+++ b/include/arbutusdale/store/group_commit.hpp
@@ -56,7 +56,7 @@
 
   /// Calls `done` once, at the latest in the first `expire()` after `deadline`. Entries that
   /// exceed the store's limit for one append are stored by several, in their order; the outcome is
-  /// `stored` once all are. Refused at once if the store takes no record as large as one of them.
+  /// `stored` once all are. Refused if the store takes no record as large as one of them.
   void write(std::vector<KeyedValue> entries, TimePoint deadline, Done done);
 
   /// Completes the writes whose deadline has passed; call it at least every 100 ms.
--- a/src/arbutusdale/fleet/cluster_test.hpp
+++ b/src/arbutusdale/fleet/cluster_test.hpp
@@ -332,7 +332,8 @@
                          [this, directory](sched::WorkerListener& listener) {
                            return directory(store, process, listener);
                          },
-                         name, name + "." + std::to_string(timer.wall_ms()), cpu_share});
+                         name, name + "." + std::to_string(timer.wall_ms()), cpu_share,
+                         fake.limits.value_or(store::RecordLimits{})});
     jobs::Configuration configuration;
     configuration.version = 1;
     node->configuration().apply(configuration);
--- a/src/arbutusdale/fleet/leader.cpp
+++ b/src/arbutusdale/fleet/leader.cpp
@@ -67,11 +67,13 @@
       m_on_lost(std::move(on_lost)),
       m_rooms(jobs, shard),
       m_log(dependencies.store, m_timer, jobs::leader_partition(shard), k_leader_producer,
-            m_claim.fencing_token, m_claim.claim_sequence + 1),
-      m_scheduler(dependencies.orders, dependencies.advisor, *this, m_timer,
-                  {m_claim.fencing_token, m_claim.term, write_interval(jobs.layout()),
-                   evidence_interval(jobs.layout())},
-                  m_on_lost),
+            m_claim.fencing_token, m_claim.claim_sequence + 1, std::nullopt,
+            store::EpochPolicy::fixed, dependencies.record_limits),
+      m_scheduler(
+          dependencies.orders, dependencies.advisor, *this, m_timer,
+          {m_claim.fencing_token, m_claim.term, write_interval(jobs.layout()),
+           evidence_interval(jobs.layout()), store::max_content_bytes(dependencies.record_limits)},
+          m_on_lost),
       m_shard_workers(std::make_unique<ShardWorkers>(m_scheduler, m_rooms, jobs.layout(), shard)) {
   update_order_limits(m_began_at);
   m_scheduler.take_over(jobs, shard);
--- a/src/arbutusdale/sched/decisions_test.cpp
+++ b/src/arbutusdale/sched/decisions_test.cpp
@@ -18,6 +18,7 @@
 
 namespace {
 
+constexpr std::size_t k_record_bytes = 262'144;
 constexpr TimePoint k_start{Duration{1'000'000}};
 constexpr ImageId k_harmful_batch = 1;
 constexpr ImageId k_harmless_batch = 2;
@@ -185,10 +186,34 @@
   }
   InterferenceTable second;
   (void)second.intern("other");
-  second.restore(first.save(k_start), k_start);
+  second.restore(first.save(k_start, k_record_bytes), k_start);
   cr_assert_gt(second.harm(second.intern("batch"), second.intern("serving"), k_start), 0.5);
 }
 
+// Guards against evidence that the store can't take, and against the loss of what says most.
+Test(interference, evidence_is_trimmed_to_the_record_with_the_least_useful_pairs_first) {
+  InterferenceTable table;
+  const std::string long_name(k_record_bytes, 'n');
+  const ImageId harmful = table.intern("harmful");
+  const ImageId serving = table.intern("serving");
+  for (int i = 0; i < 4; ++i) {
+    table.observe({{serving, 3.0}}, {{harmful, 0.1}}, k_start);
+    table.observe({{table.intern(long_name), 3.0}}, {{harmful, 0.1}}, k_start);
+  }
+  for (int batch = 0; batch < 100; ++batch) {
+    const ImageId weak = table.intern("weak" + std::to_string(batch));
+    for (int other = 0; other < 100; ++other) {
+      const ImageId beside = table.intern("serving" + std::to_string(other));
+      table.observe({{beside, 0.1}}, {{weak, 0.1}}, k_start);
+    }
+  }
+  const auto record = table.save(k_start, k_record_bytes);
+  cr_assert_leq(record.ByteSizeLong(), k_record_bytes);
+  cr_assert_geq(record.ByteSizeLong(), k_record_bytes * 9 / 10);
+  cr_assert_eq(record.pairs(0).opportunistic_image(), "harmful");
+  cr_assert_eq(record.pairs(0).serving_image(), "serving");
+}
+
 // Guards against moving runs whose estimate is only rough, and against missing real stragglers.
 Test(straggler, tells_slow_runs_from_rough_estimates) {
   cr_assert_not(is_straggler({800ms, 100ms, 60, 800ms}, 1));
--- a/src/arbutusdale/sched/interference.cpp
+++ b/src/arbutusdale/sched/interference.cpp
@@ -5,9 +5,13 @@
 #include <cmath>
 #include <set>
 
+#include <google/protobuf/io/coded_stream.h>
+
 namespace arbutusdale::sched {
 namespace {
 
+using google::protobuf::io::CodedOutputStream;
+
 constexpr double k_harmed_ratio = 1.0;
 constexpr double k_unharmed_ratio = 0.75;
 // A task that uses less than this share of a worker is no evidence for or against its image.
@@ -24,6 +28,9 @@
 constexpr double k_harmless_weight = 0.15;
 constexpr double k_max_evidence = 40.0;
 constexpr double k_half_life_s = 120.0;
+// A pair with names that take more than this part of a record would displace too many others.
+constexpr std::size_t k_min_saved_pairs = 64;
+constexpr std::size_t k_pair_tag_bytes = 1;
 
 }  // namespace
 
@@ -129,15 +136,34 @@
   return {images.begin(), images.end()};
 }
 
-proto::jobs::InterferenceEvidence InterferenceTable::save(TimePoint now) const {
-  proto::jobs::InterferenceEvidence record;
+proto::jobs::InterferenceEvidence InterferenceTable::save(TimePoint now,
+                                                          std::size_t max_bytes) const {
+  std::vector<proto::jobs::PairEvidence> pairs;
   for (const auto& [images, evidence] : m_pairs) {
+    const std::string& batch = m_names[images.first];
+    const std::string& serving = m_names[images.second];
+    if (batch.size() + serving.size() > max_bytes / k_min_saved_pairs) {
+      continue;
+    }
     const Evidence current = decayed(evidence, now);
-    auto* pair = record.add_pairs();
-    pair->set_opportunistic_image(m_names[images.first]);
-    pair->set_serving_image(m_names[images.second]);
-    pair->set_harmful(current.harmful);
-    pair->set_harmless(current.harmless);
+    auto& pair = pairs.emplace_back();
+    pair.set_opportunistic_image(batch);
+    pair.set_serving_image(serving);
+    pair.set_harmful(current.harmful);
+    pair.set_harmless(current.harmless);
+  }
+  std::stable_sort(pairs.begin(), pairs.end(), [](const auto& a, const auto& b) {
+    return a.harmful() + a.harmless() > b.harmful() + b.harmless();
+  });
+  proto::jobs::InterferenceEvidence record;
+  std::size_t bytes = 0;
+  for (proto::jobs::PairEvidence& pair : pairs) {
+    const std::size_t content = pair.ByteSizeLong();
+    bytes += k_pair_tag_bytes + CodedOutputStream::VarintSize64(content) + content;
+    if (bytes > max_bytes) {
+      break;
+    }
+    *record.add_pairs() = std::move(pair);
   }
   return record;
 }
--- a/src/arbutusdale/sched/scheduler_moves.cpp
+++ b/src/arbutusdale/sched/scheduler_moves.cpp
@@ -3,6 +3,7 @@
 // started is moved only if no worker here can go on with it.
 #include "arbutusdale/core/enum_names.hpp"
 #include "arbutusdale/observe/event_log.hpp"
+#include "arbutusdale/sched/progress_size.hpp"
 #include "arbutusdale/sched/scheduler.hpp"
 
 #include <algorithm>
@@ -183,6 +184,7 @@
     record.set_runs_through(highest_run(job, m_options.term));
     *record.mutable_progress() = job.progress(m_workers, m_timer.wall_ms());
     forget_unsettled_runs(*record.mutable_progress());
+    trim_progress(*record.mutable_progress(), job.terms().max_attempts(), max_value_bytes());
   }
   remove_from_queue(job);
   m_dirty.erase(job.id);
--- a/src/arbutusdale/sched/scheduler_storage.cpp
+++ b/src/arbutusdale/sched/scheduler_storage.cpp
@@ -1,4 +1,6 @@
-// What the leader stores: the progress of jobs, and the roster of workers that may have runs.
+// What the leader stores: the progress of jobs, with the roster and the interference evidence.
+#include "arbutusdale/observe/event_log.hpp"
+#include "arbutusdale/sched/progress_size.hpp"
 #include "arbutusdale/sched/scheduler.hpp"
 
 #include <algorithm>
@@ -7,11 +9,18 @@
 namespace arbutusdale::sched {
 namespace {
 
+using observe::Event;
+using observe::EventLine;
+
 // Starts alone cause a write only after this time, so that most are stored with other progress.
 constexpr Duration k_start_record_delay = std::chrono::milliseconds{150};
 
 }  // namespace
 
+std::size_t Scheduler::max_value_bytes() const {
+  return m_options.max_record_bytes - std::min(m_options.max_record_bytes, k_record_reserve_bytes);
+}
+
 void Scheduler::mark_dirty(Job& job) {
   m_dirty.insert(job.id);
 }
@@ -33,7 +42,7 @@
   if (m_flushing) {
     return;
   }
-  auto roster = roster_entry();
+  auto roster = roster_update();
   if (!roster && !may_write_progress()) {
     return;
   }
@@ -45,17 +54,13 @@
   std::vector<store::KeyedValue> entries;
   std::vector<WorkerSlot> roster_additions;
   if (roster) {
-    entries.push_back(std::move(*roster));
-    for (const auto& worker : m_workers.all()) {
-      if (may_have_runs(*worker) && !worker->in_roster) {
-        roster_additions.push_back(worker->slot);
-      }
-    }
+    entries.push_back(std::move(roster->entry));
+    roster_additions = std::move(roster->additions);
   }
   // Interference evidence is stored only together with progress, to save writes.
   if (m_evidence_due && !m_dirty.empty()) {
     m_evidence_due = false;
-    entries.push_back(jobs::encode(m_interference.save(m_timer.now())));
+    entries.push_back(jobs::encode(m_interference.save(m_timer.now(), max_value_bytes())));
   }
   if (m_dirty.empty() && entries.empty()) {
     on_flushed(true, {}, processed);
@@ -63,11 +68,11 @@
   }
   std::vector<jobs::JobId> written;
   for (const jobs::JobId& id : std::exchange(m_dirty, {})) {
-    const Job* job = m_tasks.find(id);
+    Job* job = m_tasks.find(id);
     if (job == nullptr) {
       continue;
     }
-    entries.push_back(jobs::encode(job->progress(m_workers, m_timer.wall_ms())));
+    entries.push_back(jobs::encode(storable_progress(*job)));
     written.push_back(id);
   }
   if (entries.empty() && m_pending_starts.empty()) {
@@ -99,6 +104,22 @@
   });
 }
 
+// Submissions are checked, so a record stays too large only if its job was accepted with another
+// limit. The ends of its runs could never be confirmed to their workers, so the job fails.
+jobs::JobProgress Scheduler::storable_progress(Job& job) {
+  jobs::JobProgress progress = job.progress(m_workers, m_timer.wall_ms());
+  if (trim_progress(progress, job.terms().max_attempts(), max_value_bytes())) {
+    return progress;
+  }
+  EventLine(Event::record_too_large)
+      .add("job", job.id.view())
+      .add("bytes", progress.ByteSizeLong())
+      .add("limit", max_value_bytes())
+      .write();
+  finish_job(job, proto::jobs::JobState::FAILED);
+  return job.progress(m_workers, m_timer.wall_ms());
+}
+
 std::vector<Scheduler::ProcessedEnds> Scheduler::unstored_ends() {
   std::vector<ProcessedEnds> processed;
   std::erase_if(m_unstored_workers, [this, &processed](WorkerSlot slot) {
@@ -135,52 +156,4 @@
   }
 }
 
-// Whether a run that some leader has started may be alive on the worker, or may start there from
-// now on. A worker that has never answered gets no starts, and the next leader need not wait for
-// it.
-bool Scheduler::may_have_runs(const Worker& worker) const {
-  if (worker.has_ended) {
-    return false;
-  }
-  const TimePoint now = m_timer.now();
-  const bool awaiting_first_answer =
-      worker.in_earlier_roster && !worker.has_answered && now <= earlier_leases_expire_at();
-  const bool may_get_starts =
-      worker.registered && worker.has_answered && worker.entry.state == WorkerState::ready;
-  // The last answer listed no run, and no start has been left unanswered.
-  const bool is_empty = worker.has_answered && worker.runs.empty() && !worker.has_unwanted_runs &&
-                        worker.unanswered.empty();
-  const bool may_run = now <= worker.lease.expires_at();
-  return may_get_starts || !worker.runs.empty() || awaiting_first_answer || (may_run && !is_empty);
-}
-
-// The new roster, if the stored one lacks a registered worker or names one that is gone.
-std::optional<store::KeyedValue> Scheduler::roster_entry() {
-  if (!std::exchange(m_roster_check_due, false)) {
-    return std::nullopt;
-  }
-  const auto& workers = m_workers.all();
-  const bool needed = std::any_of(workers.begin(), workers.end(), [this](const auto& worker) {
-    // Others are added with their first answer, and stay while they are registered.
-    const bool is_leaving = worker->entry.state == WorkerState::draining || !worker->registered;
-    return is_leaving == worker->in_roster && may_have_runs(*worker) != worker->in_roster;
-  });
-  if (!needed) {
-    return std::nullopt;
-  }
-  jobs::WorkerRoster roster;
-  for (const auto& worker : workers) {
-    if (!may_have_runs(*worker)) {
-      worker->in_roster = false;
-      continue;
-    }
-    auto* entry = roster.add_workers();
-    entry->set_worker(worker->entry.id);
-    const bool has_address = !worker->answered_address.empty();
-    entry->set_address(has_address ? worker->answered_address : worker->entry.address);
-    entry->set_incarnation(worker->entry.incarnation);
-  }
-  return jobs::encode(roster);
-}
-
 }  // namespace arbutusdale::sched
--- a/src/arbutusdale/store/group_commit.cpp
+++ b/src/arbutusdale/store/group_commit.cpp
@@ -119,7 +119,12 @@
                                       [this](const auto& entry) { return is_too_large(entry); });
   if (too_large != entries.end()) {
     log_too_large(*too_large);
-    done(CommitOutcome::refused);
+    // Delayed, since the writer may repeat the write from within `done`.
+    m_timer.call_after(k_refused_retry_delay, [alive = m_alive, done = std::move(done)] {
+      if (*alive) {
+        done(CommitOutcome::refused);
+      }
+    });
     return;
   }
   std::vector<std::vector<KeyedValue>> parts = split(std::move(entries));
