--- a/include/arbutusdale/fleet/job_service.hpp
+++ b/include/arbutusdale/fleet/job_service.hpp
@@ -41,6 +41,10 @@
   /// not be submitted: its append would never succeed, and would hold up those behind it.
   [[nodiscard]] std::size_t max_submission_bytes() const { return m_max_submission_bytes; }
 
+  /// Largest progress of a job, in bytes, that the store takes; a job whose progress may exceed it
+  /// must not be submitted.
+  [[nodiscard]] std::size_t max_progress_bytes() const { return m_max_progress_bytes; }
+
   /// Stores a job; a job that is already known counts as stored.
   void submit(const jobs::JobId& id, const jobs::JobSubmitted& record, TimePoint deadline,
               Done done);
@@ -71,6 +75,7 @@
   const std::string m_daemon;
   const std::uint32_t m_cpu_millis;
   const std::size_t m_max_submission_bytes;
+  const std::size_t m_max_progress_bytes;
   std::optional<TimePoint> m_presence_written_at;
   std::size_t m_own_partition;  // index of the writer for submissions and cancellations
 };
--- a/src/arbutusdale/fleet/job_service.cpp
+++ b/src/arbutusdale/fleet/job_service.cpp
@@ -2,6 +2,7 @@
 #include "arbutusdale/fleet/job_service.hpp"
 
 #include "arbutusdale/jobs/daemon_presence.hpp"
+#include "arbutusdale/sched/progress_size.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -28,6 +29,11 @@
   return std::min(limits.record, in_append);
 }
 
+std::size_t max_progress_bytes_of(const store::RecordLimits& limits) {
+  const std::size_t content = store::max_content_bytes(limits);
+  return content - std::min(content, sched::k_record_reserve_bytes);
+}
+
 }  // namespace
 
 JobService::JobService(store::MetadataStore& store, Timer& timer, const jobs::JobTable& jobs,
@@ -40,6 +46,7 @@
       m_daemon(daemon),
       m_cpu_millis(static_cast<std::uint32_t>(cpu_share * k_millis)),
       m_max_submission_bytes(max_submission_bytes_of(limits)),
+      m_max_progress_bytes(max_progress_bytes_of(limits)),
       m_own_partition(jobs::job_partition_of(daemon)) {
   for (const store::Partition& partition : jobs::job_partitions()) {
     m_writers.push_back(std::make_unique<store::GroupCommit>(
