--- a/include/arbutusdale/observe/event_log.hpp
+++ b/include/arbutusdale/observe/event_log.hpp
@@ -23,6 +23,7 @@
   request_repeated,
   append_resolved,
   record_too_large,
+  store_lost_records,
   roster_full,
   configuration_applied,
   job_moved,
--- a/include/arbutusdale/store/partition_follower.hpp
+++ b/include/arbutusdale/store/partition_follower.hpp
@@ -65,6 +65,8 @@
   void scan(std::string after_key, TimePoint started_at);
   void on_page(const ScanPage& page, TimePoint started_at);
   void read();
+  /// Reports a store that has lost records: its end is below the offset read before the call.
+  void note_end(std::uint64_t end, std::uint64_t read_through);
   void on_read(const ReadReply& reply, TimePoint sent);
   void deliver(const std::vector<Record>& records);
   void on_error(const ReadError& error);
@@ -80,6 +82,7 @@
   bool m_loaded = false;
   bool m_available = true;
   std::uint64_t m_next_offset = 0;
+  bool m_end_is_lower = false;              // than what has been read, as of the last reply
   std::optional<std::uint64_t> m_scan_end;  // end of the partition when the scan started
   std::optional<TimePoint> m_fresh_as_of;
   Duration m_read_latency{};
--- a/src/arbutusdale/observe/event_log.cpp
+++ b/src/arbutusdale/observe/event_log.cpp
@@ -16,7 +16,7 @@
 namespace arbutusdale::observe {
 namespace {
 
-constexpr EnumNames<Event, 47> k_event_names{{
+constexpr EnumNames<Event, 48> k_event_names{{
     {Event::process_started, "process_started"},
     {Event::process_stopping, "process_stopping"},
     {Event::process_stopped, "process_stopped"},
@@ -26,6 +26,7 @@
     {Event::request_repeated, "request_repeated"},
     {Event::append_resolved, "append_resolved"},
     {Event::record_too_large, "record_too_large"},
+    {Event::store_lost_records, "store_lost_records"},
     {Event::roster_full, "roster_full"},
     {Event::configuration_applied, "configuration_applied"},
     {Event::job_moved, "job_moved"},
--- a/src/arbutusdale/store/partition_follower.cpp
+++ b/src/arbutusdale/store/partition_follower.cpp
@@ -72,6 +72,7 @@
 void PartitionFollower::on_page(const ScanPage& page, TimePoint started_at) {
   if (!m_scan_end) {
     m_scan_end = page.end;
+    note_end(page.end, m_next_offset);
   }
   for (const Record& record : page.records) {
     m_listener.on_record(record);
@@ -88,26 +89,43 @@
   read();
 }
 
+// Once for each time that the end falls below what has been read.
+void PartitionFollower::note_end(std::uint64_t end, std::uint64_t read_through) {
+  const bool is_lower = end < read_through;
+  if (std::exchange(m_end_is_lower, is_lower) || !is_lower) {
+    return;
+  }
+  EventLine(Event::store_lost_records)
+      .add("topic", m_options.partition.topic)
+      .add("partition", m_options.partition.index)
+      .add("read_through", read_through)
+      .add("end", end)
+      .write();
+}
+
 void PartitionFollower::read() {
   const TimePoint sent = m_timer.now();
-  m_store.read({m_options.partition, m_next_offset, m_options.wait_ms},
-               [this, alive = m_alive, sent](tl::expected<ReadReply, ReadError> reply) {
-                 if (!*alive) {
-                   return;
-                 }
-                 if (reply) {
-                   on_read(*reply, sent);
-                   return;
-                 }
-                 on_error(reply.error());
-                 if (reply.error().reason == ReadFailure::trimmed) {
-                   spdlog::warn("records of topic {} expired before they were read; scanning again",
-                                m_options.partition.topic);
-                   rescan();
-                   return;
-                 }
-                 schedule(k_retry_delay, &PartitionFollower::read);
-               });
+  const std::uint64_t read_through = m_next_offset;
+  m_store.read(
+      {m_options.partition, m_next_offset, m_options.wait_ms},
+      [this, alive = m_alive, sent, read_through](tl::expected<ReadReply, ReadError> reply) {
+        if (!*alive) {
+          return;
+        }
+        if (reply) {
+          note_end(reply->end, read_through);
+          on_read(*reply, sent);
+          return;
+        }
+        on_error(reply.error());
+        if (reply.error().reason == ReadFailure::trimmed) {
+          spdlog::warn("records of topic {} expired before they were read; scanning again",
+                       m_options.partition.topic);
+          rescan();
+          return;
+        }
+        schedule(k_retry_delay, &PartitionFollower::read);
+      });
 }
 
 void PartitionFollower::on_read(const ReadReply& reply, TimePoint sent) {
