--- a/src/arbutusdale/sched/fake_fleet_test.hpp
+++ b/src/arbutusdale/sched/fake_fleet_test.hpp
@@ -93,6 +93,12 @@
     return found == counts.end() ? TaskCounts{} : found->second;
   }
 
+  /// When the last run of the task began; the epoch if there was none.
+  [[nodiscard]] TimePoint last_start_of(const jobs::TaskId& task) const {
+    const auto found = m_last_start.find(name_of(task));
+    return found == m_last_start.end() ? TimePoint{} : found->second;
+  }
+
   void set_capacity(const std::string& id, const Resources& capacity) {
     FakeWorker& worker = at(id);
     worker.earlier_capacities.push_back({worker.entry.capacity, m_timer.now()});
--- a/src/arbutusdale/sched/waiting_figures_test.hpp
+++ b/src/arbutusdale/sched/waiting_figures_test.hpp
@@ -19,6 +19,7 @@
   std::uint64_t runs_lost = 0;            // runs of other jobs on such workers
   std::uint64_t sound_jobs_given_up = 0;  // FAILED without a task that failed in all attempts
   std::uint64_t deadly_jobs_open = 0;     // not given up yet
+  std::uint64_t calm_moments = 0;  // observations at which waits of lasting tasks are checked
 
   /// Adds the figures of another run: sums of the counts, the greater of the others.
   void add(const WaitingFigures& other) {
@@ -28,14 +29,16 @@
     runs_lost += other.runs_lost;
     sound_jobs_given_up += other.sound_jobs_given_up;
     deadly_jobs_open += other.deadly_jobs_open;
+    calm_moments += other.calm_moments;
   }
   [[nodiscard]] std::string text() const {
     constexpr double k_us_per_s = 1e6;
     return fmt::format(
         "longest wait {:.1f} s, workers crashed by tasks {}, at most {} of them down at one time, "
-        "runs lost beside these tasks {}, sound jobs given up {}, deadly jobs still open {}",
+        "runs lost beside these tasks {}, sound jobs given up {}, deadly jobs still open {}, calm "
+        "moments {}",
         static_cast<double>(longest_wait.count()) / k_us_per_s, crashes, most_down, runs_lost,
-        sound_jobs_given_up, deadly_jobs_open);
+        sound_jobs_given_up, deadly_jobs_open, calm_moments);
   }
 };
 
--- a/src/arbutusdale/sched/waiting_known_red.cpp
+++ b/src/arbutusdale/sched/waiting_known_red.cpp
@@ -28,3 +28,8 @@
 Test(waiting, no_task_waits_after_a_storm_among_tasks_of_several_sizes) {
   expect_no_task_waits(sizes_shape(), {.first = 30, .count = 40});
 }
+
+// Guards against tasks that wait at another moment than the one at which the other tests look.
+Test(waiting, no_task_waits_at_any_moment_after_a_storm) {
+  expect_no_task_waits(storm_shape(), {.first = 50, .count = 30}, WaitingMoments::all);
+}
--- a/src/arbutusdale/sched/waiting_soak_test.cpp
+++ b/src/arbutusdale/sched/waiting_soak_test.cpp
@@ -15,3 +15,9 @@
 Test(waiting, no_task_waits_after_a_series_of_crashes) {
   expect_no_task_waits(crash_shape(), {.first = 70, .count = 40});
 }
+
+// Guards against tasks that wait in calm times between series of faults, which the check at one
+// moment in the end does not see.
+Test(waiting, no_task_waits_at_any_calm_moment_between_waves_of_faults) {
+  expect_no_task_waits(waves_shape(), {.first = 1, .count = 20}, WaitingMoments::all);
+}
--- a/src/arbutusdale/sched/waiting_soak_test.hpp
+++ b/src/arbutusdale/sched/waiting_soak_test.hpp
@@ -2,6 +2,7 @@
 // end on a fleet that is mostly free. The variable ARBUTUSDALE_WAITING_SEEDS sets the number of
 // seeds, ARBUTUSDALE_WAITING_FIRST_SEED the first one; ARBUTUSDALE_WAITING_SHAPE leaves out the
 // tests of all other shapes, and ARBUTUSDALE_WAITING_FIGURES prints the figures of each run.
+// ARBUTUSDALE_WAITING_ALL_MOMENTS looks at all moments in every shape, not only in that of waves.
 #pragma once
 
 #include "arbutusdale/observe/event_log.hpp"
@@ -12,10 +13,12 @@
 #include <cstdio>
 #include <cstdlib>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "sched_fixture_test.hpp"
+#include "waiting_calm_test.hpp"
 #include "waiting_faults_test.hpp"
 #include "waiting_shapes_test.hpp"
 #include "waiting_watch_test.hpp"
@@ -32,7 +35,8 @@
         m_draws{Random(seed)},
         m_fixture(shape.workers, k_waiting_worker_cpu_millis),
         m_faults(m_shape, m_draws, m_fixture, [this] { lead(); }),
-        m_watch(m_shape, m_fixture) {
+        m_watch(m_shape, m_fixture),
+        m_calm_waits(m_fixture, m_watch) {
     FakeFleet& fleet = m_fixture.fleet;
     fleet.work_of = [](const jobs::TaskId& task) { return work_of(number_of(task.job)); };
     fleet.crashes_worker = [](const jobs::TaskId& task) {
@@ -63,7 +67,7 @@
     const TimePoint check_at = now() + k_finish;
     while (now() < check_at) {
       advance(std::chrono::milliseconds{100});
-      m_watch.observe();
+      observe();
       if (now() + k_longest_wait >= check_at) {
         m_watch.measure_waits();
       }
@@ -71,8 +75,29 @@
     return m_watch.waiting();
   }
 
+  /// Goes on after run(), and describes the tasks that wait at any moment of calm times: lasting
+  /// tasks all day, jobs from the end of run() on.
+  std::vector<std::string> run_on() {
+    constexpr std::chrono::seconds k_more{10};
+    std::set<std::string> found;
+    const TimePoint end = now() + k_more;
+    while (now() < end) {
+      advance(std::chrono::milliseconds{100});
+      observe();
+      for (const std::string& task : m_watch.waiting_jobs()) {
+        found.insert(task + " after the end of the traffic");
+      }
+    }
+    found.insert(m_calm_waits.found().begin(), m_calm_waits.found().end());
+    return {found.begin(), found.end()};
+  }
+
   /// Figures of the run so far.
-  [[nodiscard]] WaitingFigures figures() { return m_watch.figures(); }
+  [[nodiscard]] WaitingFigures figures() const {
+    WaitingFigures figures = m_watch.figures();
+    figures.calm_moments = m_calm_waits.calm_moments();
+    return figures;
+  }
 
  private:
   static Duration work_of(std::uint32_t number) {
@@ -115,6 +140,11 @@
     m_fixture.timer.advance(time);
   }
 
+  void observe() {
+    m_watch.observe();
+    m_calm_waits.observe(m_faults.disturbed_until());
+  }
+
   void lead() {
     if (!m_leaders.empty()) {
       m_leaders.back()->kill();
@@ -169,7 +199,7 @@
         m_faults.inject();
       }
       advance(std::chrono::milliseconds{200});
-      m_watch.observe();
+      observe();
     }
   }
 
@@ -178,6 +208,7 @@
   FleetFixture m_fixture;
   WaitingFaults m_faults;
   WaitingWatch m_watch;
+  CalmWaits m_calm_waits;
   std::vector<std::unique_ptr<LeaderFixture>> m_leaders;  // by term
   std::uint32_t m_lasting = 0;
   std::uint32_t m_batch = 0;
@@ -200,19 +231,29 @@
           variable("ARBUTUSDALE_WAITING_SEEDS", otherwise.count)};
 }
 
-/// Plays the seeds and fails the test if a task waits in the end of any.
-inline void expect_no_task_waits(const WaitingSoakShape& shape, WaitingSeeds otherwise) {
+/// When the soak looks for tasks that wait.
+enum class WaitingMoments : std::uint8_t { at_the_end, all };
+
+/// Plays the seeds and fails the test if a task waits in any.
+inline void expect_no_task_waits(const WaitingSoakShape& shape, WaitingSeeds otherwise,
+                                 WaitingMoments moments = WaitingMoments::at_the_end) {
   const char* chosen = std::getenv("ARBUTUSDALE_WAITING_SHAPE");
   if (chosen != nullptr && shape.name != chosen) {
     cr_skip_test("another shape is chosen");
   }
   const WaitingSeeds seeds = chosen_seeds(otherwise);
+  const bool checks_all =
+      moments == WaitingMoments::all || std::getenv("ARBUTUSDALE_WAITING_ALL_MOMENTS") != nullptr;
   const bool prints_runs = std::getenv("ARBUTUSDALE_WAITING_FIGURES") != nullptr;
   std::uint64_t failed = 0;
   WaitingFigures sum;
   for (std::uint64_t seed = seeds.first; seed < seeds.first + seeds.count; ++seed) {
     WaitingSoak soak(shape, seed);
-    const std::vector<std::string> waiting = soak.run();
+    std::vector<std::string> waiting = soak.run();
+    if (checks_all) {
+      const std::vector<std::string> others = soak.run_on();
+      waiting.insert(waiting.end(), others.begin(), others.end());
+    }
     failed += waiting.empty() ? 0 : 1;
     const WaitingFigures figures = soak.figures();
     sum.add(figures);
--- a/src/arbutusdale/sched/waiting_watch_test.hpp
+++ b/src/arbutusdale/sched/waiting_watch_test.hpp
@@ -42,6 +42,7 @@
         m_task_run_at[FakeFleet::name_of(run.task)] = now();
       }
     }
+    m_busy_at = is_mostly_free() ? m_busy_at : now();
   }
 
   /// Descriptions of the jobs and lasting tasks that wait now on a fleet that is mostly free.
@@ -55,7 +56,7 @@
         continue;
       }
       if (now() - m_run_at[number] > k_longest_wait) {
-        found.push_back(fmt::format("job {} has no run", number));
+        found.push_back(describe_wait(number));
       }
       for (std::uint32_t i = 0; i < lasting_tasks(number); ++i) {
         if (now() - m_task_run_at[task_name(number, i)] > k_lasting_grace + k_longest_wait) {
@@ -66,6 +67,46 @@
     return found;
   }
 
+  /// The same of jobs alone, for any moment after the faults: the fleet has been mostly free as
+  /// long as the jobs have waited, and runs too short to be observed count.
+  [[nodiscard]] std::vector<std::string> waiting_jobs() {
+    std::vector<std::string> found;
+    if (now() - m_busy_at <= k_longest_wait) {
+      return found;
+    }
+    for (const auto& [number, submitted_at] : m_submitted_at) {
+      const bool has_run = now() - m_run_at[number] <= k_longest_wait || has_started_lately(number);
+      if (is_open_and_sound(number) && !has_run) {
+        found.push_back(describe_wait(number));
+      }
+    }
+    return found;
+  }
+
+  [[nodiscard]] std::vector<std::uint32_t> open_lasting_jobs() const {
+    std::vector<std::uint32_t> numbers;
+    for (const auto& [number, submitted_at] : m_submitted_at) {
+      if (kind_of(number) == WaitingJob::lasting && is_open(number)) {
+        numbers.push_back(number);
+      }
+    }
+    return numbers;
+  }
+  /// True when a run of the job began within the time that jobs may wait, also one so short that no
+  /// observation saw it.
+  [[nodiscard]] bool has_started_lately(std::uint32_t number) const {
+    TimePoint last{};
+    for (std::uint32_t i = 0; i < k_waiting_lasting_tasks; ++i) {
+      last = std::max(last, m_fixture.fleet.last_start_of({job_id(number), 0, 0, i}));
+    }
+    return now() - last <= k_longest_wait;
+  }
+  /// The last observation at which the task had a run, or else the submission of its job.
+  [[nodiscard]] TimePoint last_run_of(std::uint32_t number, std::uint32_t index) const {
+    const auto found = m_task_run_at.find(task_name(number, index));
+    return found == m_task_run_at.end() ? m_submitted_at.at(number) : found->second;
+  }
+
   /// Takes the present waits on a fleet that is mostly free into the figures.
   void measure_waits() {
     if (!is_mostly_free()) {
@@ -77,12 +118,12 @@
       }
       measure_wait(std::max(m_run_at[number], submitted_at));
       for (std::uint32_t i = 0; i < lasting_tasks(number); ++i) {
-        measure_wait(std::max(m_task_run_at[task_name(number, i)], submitted_at));
+        measure_wait(last_run_of(number, i));
       }
     }
   }
 
-  [[nodiscard]] WaitingFigures figures() {
+  [[nodiscard]] WaitingFigures figures() const {
     WaitingFigures figures = m_figures;
     for (const auto& [number, submitted_at] : m_submitted_at) {
       const bool is_deadly = kind_of(number) == WaitingJob::deadly;
@@ -95,6 +136,9 @@
   }
 
  private:
+  static std::string describe_wait(std::uint32_t number) {
+    return fmt::format("job {} has no run", number);
+  }
   [[nodiscard]] TimePoint now() const { return m_fixture.timer.now(); }
   static std::string task_name(std::uint32_t number, std::uint32_t index) {
     return FakeFleet::name_of({job_id(number), 0, 0, index});
@@ -132,8 +176,9 @@
   }
 
   [[nodiscard]] bool has_exhausted_attempts(std::uint32_t number) const {
-    constexpr std::uint32_t k_attempts = 3;  // as JobBuilder sets them
-    for (std::uint32_t i = 0; i < k_waiting_lasting_tasks; ++i) {
+    constexpr std::uint32_t k_attempts = 3;  // as JobBuilder sets them; lasting tasks have no limit
+    constexpr std::uint32_t k_tasks = 4;
+    for (std::uint32_t i = 0; kind_of(number) != WaitingJob::lasting && i < k_tasks; ++i) {
       if (m_fixture.fleet.counts_of({job_id(number), 0, 0, i}).failures >= k_attempts) {
         return true;
       }
@@ -157,6 +202,7 @@
   std::map<std::uint32_t, TimePoint> m_submitted_at;  // by job
   std::map<std::uint32_t, TimePoint> m_run_at;        // last run seen, by job
   std::map<std::string, TimePoint> m_task_run_at;     // the same, by task
+  TimePoint m_busy_at{};                              // last observation of a fleet in use
   std::vector<TimePoint> m_crashed_at;                // of workers down by a task
   WaitingFigures m_figures;
 };
