--- a/src/arbutusdale/sched/waiting_soak_test.hpp
+++ b/src/arbutusdale/sched/waiting_soak_test.hpp
@@ -234,13 +234,18 @@
 /// When the soak looks for tasks that wait.
 enum class WaitingMoments : std::uint8_t { at_the_end, all };
 
-/// Plays the seeds and fails the test if a task waits in any.
-inline void expect_no_task_waits(const WaitingSoakShape& shape, WaitingSeeds otherwise,
-                                 WaitingMoments moments = WaitingMoments::at_the_end) {
+/// Skips the test if the environment chooses another shape.
+inline void skip_unless_chosen(const WaitingSoakShape& shape) {
   const char* chosen = std::getenv("ARBUTUSDALE_WAITING_SHAPE");
   if (chosen != nullptr && shape.name != chosen) {
     cr_skip_test("another shape is chosen");
   }
+}
+
+/// Plays the seeds and fails the test if a task waits in any.
+inline void expect_no_task_waits(const WaitingSoakShape& shape, WaitingSeeds otherwise,
+                                 WaitingMoments moments = WaitingMoments::at_the_end) {
+  skip_unless_chosen(shape);
   const WaitingSeeds seeds = chosen_seeds(otherwise);
   const bool checks_all =
       moments == WaitingMoments::all || std::getenv("ARBUTUSDALE_WAITING_ALL_MOMENTS") != nullptr;
@@ -268,4 +273,18 @@
   cr_assert_eq(failed, 0U, "%lu of %lu seeds failed", failed, seeds.count);
 }
 
+/// Plays the seeds and fails the test if a job that crashes no worker is given up in any.
+inline void expect_no_sound_job_is_given_up(const WaitingSoakShape& shape, WaitingSeeds otherwise) {
+  skip_unless_chosen(shape);
+  const WaitingSeeds seeds = chosen_seeds(otherwise);
+  WaitingFigures sum;
+  for (std::uint64_t seed = seeds.first; seed < seeds.first + seeds.count; ++seed) {
+    WaitingSoak soak(shape, seed);
+    (void)soak.run();
+    sum.add(soak.figures());
+  }
+  fmt::print(stderr, "{}, {} runs: {}\n", shape.name, seeds.count, sum.text());
+  cr_assert_eq(sum.sound_jobs_given_up, 0U, "%lu jobs given up", sum.sound_jobs_given_up);
+}
+
 }  // namespace arbutusdale::sched
