--- a/src/arbutusdale/sched/waiting_soak_test.cpp
+++ b/src/arbutusdale/sched/waiting_soak_test.cpp
@@ -30,3 +30,9 @@
 Test(waiting, no_task_waits_after_a_storm_among_tasks_of_several_sizes) {
   expect_no_task_waits(sizes_shape(), {.first = 30, .count = 40});
 }
+
+// Guards against tasks that wait in calm times between series of faults, which the check at one
+// moment in the end does not see.
+Test(waiting, no_task_waits_at_any_calm_moment_between_waves_of_faults) {
+  expect_no_task_waits(waves_shape(), {.first = 1, .count = 20}, WaitingMoments::all);
+}
