--- a/src/arbutusdale/sched/waiting_known_red.cpp
+++ b/src/arbutusdale/sched/waiting_known_red.cpp
@@ -5,16 +5,6 @@
 
 using namespace arbutusdale::sched;
 
-// Guards against sound suspects that wait behind tasks that crash their workers.
-Test(waiting, no_task_waits_behind_deadly_tasks) {
-  expect_no_task_waits(deadly_shape(), {.first = 1, .count = 30});
-}
-
-// Guards against a number of places for suspects that is too small after a storm in a wide fleet.
-Test(waiting, no_task_waits_after_a_storm_in_a_wide_fleet) {
-  expect_no_task_waits(wide_shape(), {.first = 1, .count = 10});
-}
-
 // Guards against tasks that wait at another moment than the one at which the other tests look.
 Test(waiting, no_task_waits_at_any_moment_after_a_storm) {
   expect_no_task_waits(storm_shape(), {.first = 50, .count = 30}, WaitingMoments::all);
@@ -25,3 +15,8 @@
 Test(waiting, no_sound_job_is_given_up_in_a_series_of_crashes) {
   expect_no_sound_job_is_given_up(crash_shape(), {.first = 1, .count = 20});
 }
+
+// Guards against tasks that wait after a series of crashes under many opportunistic tasks.
+Test(waiting, no_task_waits_after_a_series_of_crashes) {
+  expect_no_task_waits(crash_shape(), {.first = 70, .count = 40});
+}
--- a/src/arbutusdale/sched/waiting_soak_test.cpp
+++ b/src/arbutusdale/sched/waiting_soak_test.cpp
@@ -11,11 +11,6 @@
   expect_no_task_waits(plain_shape(), {.first = 1, .count = 60});
 }
 
-// The same after series of crashes under many opportunistic tasks.
-Test(waiting, no_task_waits_after_a_series_of_crashes) {
-  expect_no_task_waits(crash_shape(), {.first = 70, .count = 40});
-}
-
 // Guards against tasks that wait after a storm has made many of them suspects.
 Test(waiting, no_task_waits_after_a_storm) {
   expect_no_task_waits(storm_shape(), {.first = 20, .count = 40});
@@ -36,3 +31,13 @@
 Test(waiting, no_task_waits_at_any_calm_moment_between_waves_of_faults) {
   expect_no_task_waits(waves_shape(), {.first = 1, .count = 20}, WaitingMoments::all);
 }
+
+// Guards against sound suspects that wait behind tasks that crash their workers.
+Test(waiting, no_task_waits_behind_deadly_tasks) {
+  expect_no_task_waits(deadly_shape(), {.first = 1, .count = 30});
+}
+
+// Guards against a number of places for suspects that is too small after a storm in a wide fleet.
+Test(waiting, no_task_waits_after_a_storm_in_a_wide_fleet) {
+  expect_no_task_waits(wide_shape(), {.first = 1, .count = 10});
+}
