--- a/include/arbutusdale/sched/task_table.hpp
+++ b/include/arbutusdale/sched/task_table.hpp
@@ -83,9 +83,9 @@
   done,
 };
 
-/// Why the last placement round that examined a waiting task did not start it.
+/// Why the last placement round that got to a waiting task did not start it.
 enum class StartDelay : std::uint8_t {
-  none,             ///< no round has examined it since it began to wait
+  none,             ///< no round has got to it since it began to wait
   start_window,     ///< too many starts are unanswered
   earlier_leader,   ///< an earlier leader may have started it
   batch_interval,   ///< opportunistic tasks are placed less often than others
@@ -128,8 +128,8 @@
   TimePoint checkpointed_at{};             // when it was first reported
   TimePoint ready_at{};                    // since when it waits
   TimePoint not_before{};                  // earliest next start
-  TimePoint examined_at{};                 // by the last round that got to it
-  StartDelay delay = StartDelay::none;     // as of examined_at
+  TimePoint examined_at{};                 // when a worker was last looked for
+  StartDelay delay = StartDelay::none;     // as of the last round that got to it
 
   [[nodiscard]] Run* find_run(std::uint32_t number);
   /// Takes over a checkpoint that a worker has reported, if there is one.
--- a/src/arbutusdale/sched/scheduler_placement.cpp
+++ b/src/arbutusdale/sched/scheduler_placement.cpp
@@ -23,12 +23,12 @@
 constexpr std::size_t k_max_unplaced_steps = 64;
 constexpr std::size_t k_max_unplaced_suspects = 8;
 // Share of the workers on which suspects are started at a time, since each may crash its worker. It
-// doubles with each isolation time for which a suspect has waited, up to the larger share.
+// doubles with each isolation time for which a suspect has waited, up to k_max_isolated_share.
 constexpr double k_first_isolated_share = 0.125;
 constexpr double k_max_isolated_share = 0.5;
 constexpr std::size_t k_min_isolated_workers = 2;
-// With those that have fallen silent under a suspect, this multiple of that share, up to the larger
-// share.
+// With those that have fallen silent under a suspect, this multiple of that share, also up to
+// k_max_isolated_share.
 constexpr std::size_t k_silent_isolated_factor = 2;
 // A suspect that has waited this long for a worker without recent starts gets one reserved.
 constexpr Duration k_reservation_delay = std::chrono::milliseconds{200};
@@ -42,6 +42,17 @@
 constexpr Duration k_room_reservation_delay = std::chrono::seconds{1};
 constexpr Duration k_reservation_time = k_settling_time + std::chrono::milliseconds{200};
 
+double isolated_share(Duration waited) {
+  double share = k_first_isolated_share;
+  for (Duration passed = k_isolation_time; passed <= waited; passed += k_isolation_time) {
+    share *= 2;
+    if (share >= k_max_isolated_share) {
+      return k_max_isolated_share;
+    }
+  }
+  return share;
+}
+
 }  // namespace
 
 struct Scheduler::RoundState {
@@ -133,7 +144,6 @@
 }
 
 Visit Scheduler::visit_task(Task& task, RoundState& round) {
-  task.examined_at = round.now;
   if (is_start_window_full()) {
     round.left_out = false;  // an answer starts the next round
     task.delay = StartDelay::start_window;
@@ -143,6 +153,9 @@
   const bool opportunistic = step.spec->opportunistic();
   m_place_due = m_place_due || (opportunistic && !round.batch_due);
   const StartDelay step_delay = delay_of_step(step, round);
+  if (step_delay == StartDelay::batch_interval) {
+    return Visit::next_step;  // the delay that the last round of opportunistic tasks found stays
+  }
   if (step_delay != StartDelay::none) {
     task.delay = step_delay;
     return Visit::next_step;
@@ -167,6 +180,7 @@
     task.delay = StartDelay::round_limit;
     return Visit::next_task;
   }
+  task.examined_at = round.now;
   round.examined_suspects.insert(&task);
   m_suspects_wait = true;
   if (place_suspect(task)) {
@@ -185,6 +199,7 @@
   const bool is_gang = step.spec->gang();
   const bool plain_batch = step.spec->opportunistic() && step.spec->required_label().empty() &&
                            !step.job->terms().advised();
+  task.examined_at = round.now;
   task.delay = StartDelay::no_worker;
   const auto refused = round.unplaced_cpu.find(step.image);
   if (plain_batch && refused != round.unplaced_cpu.end() &&
@@ -271,25 +286,20 @@
   return true;
 }
 
-// Suspects that wait for the same places are not kept waiting by those before them: their limit
-// grows with their wait. A task that crashes its workers begins to wait anew after each crash.
+// The limit grows with the wait, so that suspects are not held back for long by those that started
+// before them. After a crash a task begins to wait anew.
 IsolationLimit Scheduler::isolation_limit(Duration waited) const {
   const auto& workers = m_workers.all();
   const auto registered = std::count_if(workers.begin(), workers.end(),
                                         [](const auto& worker) { return worker->registered; });
-  const auto part = [registered](double share) {
+  const auto workers_of_share = [registered](double share) {
     return static_cast<std::size_t>(static_cast<double>(registered) * share);
   };
-  double share = k_first_isolated_share;
-  for (Duration left = waited; left >= k_isolation_time && share < k_max_isolated_share;) {
-    share *= 2;
-    left -= k_isolation_time;
-  }
+  const std::size_t max_total = std::max(workers_of_share(k_max_isolated_share),
+                                         k_min_isolated_workers * k_silent_isolated_factor);
   IsolationLimit limit;
-  limit.answering = std::max(part(std::min(share, k_max_isolated_share)), k_min_isolated_workers);
-  const std::size_t most =
-      std::max(part(k_max_isolated_share), k_min_isolated_workers * k_silent_isolated_factor);
-  limit.total = std::min(limit.answering * k_silent_isolated_factor, most);
+  limit.answering = std::max(workers_of_share(isolated_share(waited)), k_min_isolated_workers);
+  limit.total = std::min(limit.answering * k_silent_isolated_factor, max_total);
   return limit;
 }
 
