--- a/src/arbutusdale/gateway/http_server.cpp
+++ b/src/arbutusdale/gateway/http_server.cpp
@@ -18,6 +18,9 @@
 constexpr unsigned k_listen_backlog = 1'024;
 constexpr std::size_t k_max_discarded_bytes = 16'777'216;
 constexpr auto k_stop_poll = std::chrono::milliseconds{5};
+// Time for the last answers to be sent; a caller that does not read its answer must not hold up the
+// end of the process.
+constexpr auto k_last_answers_timeout = std::chrono::milliseconds{500};
 
 using SharedExchange = std::shared_ptr<Exchange>;
 
@@ -115,6 +118,11 @@
     }
     std::this_thread::sleep_for(k_stop_poll);
   }
+  // Stopping the daemon closes connections whose answers are not sent yet.
+  const auto last = std::chrono::steady_clock::now() + k_last_answers_timeout;
+  while (open_exchanges() > 0 && std::chrono::steady_clock::now() < last) {
+    std::this_thread::sleep_for(k_stop_poll);
+  }
   m_watch.stop();
   MHD_stop_daemon(m_daemon);
   m_daemon = nullptr;
