--- a/include/arbutusdale/sched/scheduler.hpp
+++ b/include/arbutusdale/sched/scheduler.hpp
@@ -249,6 +249,12 @@
   [[nodiscard]] bool is_starved(const Task& task) const;
   bool place_starved(Task& task);
   bool place_gang(Step& step);
+  /// True when an answer must come before another start is sent.
+  [[nodiscard]] bool is_start_window_full() const;
+  void release_start_slot(Worker& worker);
+  [[nodiscard]] std::uint32_t next_run_number(const Task& task) const;
+
+  // Starts of suspects, scheduler_suspects.cpp.
   bool place_suspect(Task& task);
   /// Places a suspect in a group that has begun.
   bool place_in_group(Task& task);
@@ -256,10 +262,6 @@
   /// The limit for a suspect that has waited for this time.
   [[nodiscard]] IsolationLimit isolation_limit(Duration waited) const;
   [[nodiscard]] bool may_isolate(const Task& task) const;
-  /// True when an answer must come before another start is sent.
-  [[nodiscard]] bool is_start_window_full() const;
-  void release_start_slot(Worker& worker);
-  [[nodiscard]] std::uint32_t next_run_number(const Task& task) const;
 
   // Orders and their answers, scheduler_orders.cpp.
   void start_run(Task& task, Worker& worker, std::uint32_t number);
