Play tasks that crash their workers after seconds in the waiting soak

The soak drew only tasks that crash their worker 10 ms after the start, so no run of it showed what the limit of five crashes in a row is for. The shape "late" has jobs of which one task crashes its worker 1.5, 3 or 4.5 s after the start, and the figures say how many crashes one deadly task had at most, those by faults included. The delay of a crash depends on the task in the fake fleet; the two tests that set it keep theirs.

--- a/src/arbutusdale/sched/fake_fleet_test.hpp
+++ b/src/arbutusdale/sched/fake_fleet_test.hpp
@@ -41,7 +41,7 @@
   };
   /// Called before a worker crashes under such a task, while the worker still has its runs.
   std::function<void(const FakeWorker&)> on_crash_by_task = [](const FakeWorker&) {};
-  Duration crash_delay = std::chrono::milliseconds{10};
+  TaskDelay crash_delay = default_crash_delay;
   Duration return_delay = std::chrono::milliseconds{3'200};
   Return return_mode = Return::under_new_id;
   /// Learn of returned workers, and of crashed ones whose registrations have expired.
@@ -314,11 +314,11 @@
     if (!task.is_deadly) {
       return false;
     }
-    if (crash_delay == Duration::zero()) {
+    if (crash_delay(run.task) == Duration::zero()) {
       crash_by_task(worker);
       return true;
     }
-    m_timer.call_after(crash_delay, [this, &worker, id = run.task, number = run.number] {
+    m_timer.call_after(crash_delay(run.task), [this, &worker, id = run.task, number = run.number] {
       const bool is_alive = std::any_of(
           worker.runs.begin(), worker.runs.end(),
           [&](const FakeRun& other) { return other.task == id && other.number == number; });
--- a/src/arbutusdale/sched/fake_worker_test.hpp
+++ b/src/arbutusdale/sched/fake_worker_test.hpp
@@ -58,6 +58,13 @@
 /// How a crashed worker returns.
 enum class Return : std::uint8_t { under_new_id, under_same_id, never };
 
+/// A time that depends on the task.
+using TaskDelay = std::function<Duration(const jobs::TaskId&)>;
+
+inline Duration default_crash_delay(const jobs::TaskId& /*task*/) {
+  return std::chrono::milliseconds{10};
+}
+
 /// What has happened to one task.
 struct TaskCounts {
   std::uint32_t starts = 0;
--- a/src/arbutusdale/sched/given_up_task_test.cpp
+++ b/src/arbutusdale/sched/given_up_task_test.cpp
@@ -217,7 +217,7 @@
 // Guards against a crash that is not counted because the worker crashed before it answered.
 Test(crashing_task, is_given_up_when_it_crashes_workers_before_they_answer) {
   CrashFixture f;
-  f.fleet.crash_delay = 0ms;
+  f.fleet.crash_delay = [](const jobs::TaskId&) { return 0ms; };
   f.lead();
   f.timer.advance(1s);
   expect_one_given_up(f, 60s);
@@ -309,7 +309,7 @@
 // Guards against a task that seems settled when its worker crashes.
 Test(crashing_task, is_given_up_when_it_crashes_workers_after_two_seconds) {
   CrashFixture f;
-  f.fleet.crash_delay = 2s;
+  f.fleet.crash_delay = [](const jobs::TaskId&) { return 2s; };
   f.lead();
   f.timer.advance(1s);
   expect_one_given_up(f, 90s);
--- a/src/arbutusdale/sched/waiting_shapes_test.hpp
+++ b/src/arbutusdale/sched/waiting_shapes_test.hpp
@@ -36,6 +36,7 @@
 inline constexpr std::uint32_t k_first_batch = 1'000;  // numbers of jobs
 inline constexpr std::uint32_t k_first_brief = 2'000;
 inline constexpr std::uint32_t k_first_deadly = 3'000;
+inline constexpr std::uint32_t k_first_late_deadly = 4'000;  // these crash workers after seconds
 
 inline WaitingJob kind_of(std::uint32_t number) {
   return number < k_first_batch    ? WaitingJob::lasting
@@ -44,6 +45,15 @@
                                    : WaitingJob::deadly;
 }
 
+/// Time from the start of a deadly task to the crash of its worker.
+inline Duration crash_delay_of(std::uint32_t number) {
+  if (number < k_first_late_deadly) {
+    return std::chrono::milliseconds{10};
+  }
+  constexpr std::chrono::milliseconds k_step{1'500};
+  return k_step * (1 + number % 3);
+}
+
 /// Processors of a task in thousandths, by kind of job. The jobs of a kind take turns.
 struct WaitingSizes {
   std::vector<std::uint64_t> lasting = {3'200};
@@ -67,7 +77,8 @@
   int submissions = 1;             // draws of new jobs in a step
   double batch_chance = 0.25;
   double brief_chance = 0.3;
-  double deadly_chance = 0.01;  // of a job of which one task crashes each worker that starts it
+  double deadly_chance = 0.01;    // of a job of which one task crashes each worker that starts it
+  double late_deadly_chance = 0;  // the same, some seconds after the start
   WaitingSizes sizes = {};
   std::chrono::seconds traffic{34};
   double fault_chance = 0.12;
@@ -118,6 +129,11 @@
   return {.name = "deadly", .deadly_chance = 0.06, .worker_share = 0.4};
 }
 
+/// Jobs that crash their workers some seconds after their starts, among scattered faults.
+inline WaitingSoakShape late_shape() {
+  return {.name = "late", .late_deadly_chance = 0.02};
+}
+
 /// A storm in a fleet of three times the size.
 inline WaitingSoakShape wide_shape() {
   return {.name = "wide",
--- a/src/arbutusdale/sched/waiting_soak_test.cpp
+++ b/src/arbutusdale/sched/waiting_soak_test.cpp
@@ -37,6 +37,12 @@
   expect_no_task_waits(deadly_shape(), {.first = 1, .count = 30});
 }
 
+// Guards against tasks that wait for workers which tasks crash after some seconds, when their runs
+// have settled.
+Test(waiting, no_task_waits_behind_tasks_that_crash_workers_after_seconds) {
+  expect_no_task_waits(late_shape(), {.first = 1, .count = 20});
+}
+
 // Guards against a number of places for suspects that is too small after a storm in a wide fleet.
 Test(waiting, no_task_waits_after_a_storm_in_a_wide_fleet) {
   expect_no_task_waits(wide_shape(), {.first = 1, .count = 10});
--- a/src/arbutusdale/sched/waiting_soak_test.hpp
+++ b/src/arbutusdale/sched/waiting_soak_test.hpp
@@ -42,6 +42,9 @@
     fleet.crashes_worker = [](const jobs::TaskId& task) {
       return kind_of(number_of(task.job)) == WaitingJob::deadly && task.index == 0;
     };
+    fleet.crash_delay = [](const jobs::TaskId& task) {
+      return crash_delay_of(number_of(task.job));
+    };
     fleet.tail_or_cpu_of = tail_or_cpu_of;
     fleet.return_mode = m_draws.chance(0.5) ? Return::under_same_id : Return::under_new_id;
     for (auto& [id, worker] : fleet.all()) {
@@ -107,7 +110,8 @@
       case WaitingJob::batch:
         return std::chrono::milliseconds{2'200};
       default:
-        return std::chrono::milliseconds{800};
+        // The late ones crash their workers before they are done.
+        return std::chrono::milliseconds{number < k_first_late_deadly ? 800 : 12'000};
     }
   }
   static std::uint64_t tail_or_cpu_of(const FakeWorker& worker, const FakeRun& run) {
@@ -187,6 +191,9 @@
     if (m_draws.chance(m_shape.deadly_chance)) {
       submit(k_first_deadly + ++m_deadly);
     }
+    if (m_shape.late_deadly_chance > 0 && m_draws.chance(m_shape.late_deadly_chance)) {
+      submit(k_first_late_deadly + ++m_late_deadly);
+    }
   }
 
   void play_traffic() {
@@ -214,6 +221,7 @@
   std::uint32_t m_batch = 0;
   std::uint32_t m_brief = 0;
   std::uint32_t m_deadly = 0;
+  std::uint32_t m_late_deadly = 0;
 };
 
 struct WaitingSeeds {
--- a/src/arbutusdale/sched/waiting_watch_test.hpp
+++ b/src/arbutusdale/sched/waiting_watch_test.hpp
@@ -128,6 +128,10 @@
     for (const auto& [number, submitted_at] : m_submitted_at) {
       const bool is_deadly = kind_of(number) == WaitingJob::deadly;
       figures.deadly_jobs_open += is_deadly && is_open(number) ? 1 : 0;
+      if (is_deadly) {
+        const TaskCounts counts = m_fixture.fleet.counts_of({job_id(number), 0, 0, 0});
+        figures.most_crashes = std::max(figures.most_crashes, counts.crashes);
+      }
       const bool given_up = !is_deadly && state_of(number) == proto::jobs::JobState::FAILED &&
                             !has_exhausted_attempts(number);
       figures.sound_jobs_given_up += given_up ? 1 : 0;
