Give up no sound job for crashes that are likely by chance

The cause: five crashes in a row of the workers of a task convicted it, whatever had crashed them, and so did four of unsettled runs that were not isolated. In a series of crashes, or when racks are lost, sound lasting tasks lose that many runs.

CrashRate keeps the silences of workers of the last five minutes, each of which counts as a crash until the worker itself has answered. A run expects as many crashes as the other workers had while it lived, and in the second before and after (a rack is noticed within that time), by their number; one in ten minutes at least. Five crashes, or four of unsettled runs, convict if so many are less likely than 0.1% (Poisson). Three prompt crashes and four unsettled ones convict as before if the last run was isolated. Among the victims of a crash the least likely one is given up first; its crashes then say nothing about the others.

--- a/include/arbutusdale/sched/crash_history.hpp
+++ b/include/arbutusdale/sched/crash_history.hpp
@@ -5,12 +5,17 @@
 // After the crash of many workers at once, such as a lost rack, there are too many suspects to
 // start each of them alone soon. Those with a single crash are then started in groups: if the
 // worker of a group lives, all of them are cleared, and if not, each is started alone.
+// A task that crashes its workers only after some seconds never proves it like that. It is
+// convicted if so many crashes while its runs lived are very unlikely to be chance, see
+// crash_rate.hpp. Their number alone proves nothing: in a series of crashes sound tasks lose as
+// many runs in a row.
 #pragma once
 
 #include "arbutusdale/core/clock.hpp"
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -24,6 +29,8 @@
 /// A run that has lived this long shows that the earlier crashes were not caused by its task.
 inline constexpr Duration k_clearing_time = std::chrono::seconds{10};
 
+class CrashRate;
+
 /// A run that ended with the crash of its worker.
 struct CrashedRun {
   std::uint32_t number = 0;
@@ -34,6 +41,12 @@
   bool prompt = false;    // the worker was silent within k_prompt_crash_time after the start
   Duration age{};         // time for which the run is known to have run
   bool grouped = false;   // no other run but those of suspects was; not stored
+  // Time from its begin to the first sign of the crash, if this leader knows it; not stored.
+  TimePoint begun_at{};
+  TimePoint silent_at{};  // zero: not known
+  /// Crashes of its worker to be expected in that time if no task causes any. Not known of runs
+  /// under an earlier leader, which say nothing about chance; not stored.
+  std::optional<double> expected_crashes = std::nullopt;
 };
 
 /// The crashes under the runs of one task.
@@ -41,6 +54,9 @@
  public:
   /// Returns false when the run is known already.
   bool add(CrashedRun run);
+  /// Estimates anew how many crashes were to be expected: crashes of other workers at the same time
+  /// become known later. `others` is the number of other workers.
+  void estimate_chance(const CrashRate& rate, std::size_t others);
   /// A run of the task has settled on another worker, so the earlier crashes no longer make it a
   /// suspect. They still count as crashes in a row.
   void clear_suspicion() { m_cleared = m_runs.size(); }
@@ -53,6 +69,8 @@
   [[nodiscard]] bool is_weak_suspect() const;
   /// True when the task is the cause of crashes, so that it must not be started again.
   [[nodiscard]] bool is_cause() const;
+  /// The chance of such crashes if the task causes none: 0 with a proof, 1 if too few are known.
+  [[nodiscard]] double chance() const;
   /// Number of the crashes that make the task a suspect.
   [[nodiscard]] std::size_t recent_unsettled_crashes() const;
   /// The crashes in a row, the first ones first.
@@ -66,6 +84,7 @@
   /// Begin of the crashes since the suspicion was last cleared.
   [[nodiscard]] std::vector<CrashedRun>::const_iterator suspicious_begin() const;
   [[nodiscard]] std::size_t recent_prompt_crashes() const;
+  [[nodiscard]] bool is_proved() const;
 
   std::vector<CrashedRun> m_runs;  // in the order in which the crashes became known
   std::size_t m_cleared = 0;       // the first runs, which make the task no suspect any more
--- a/include/arbutusdale/sched/scheduler.hpp
+++ b/include/arbutusdale/sched/scheduler.hpp
@@ -9,6 +9,7 @@
 #include "arbutusdale/core/timer.hpp"
 #include "arbutusdale/jobs/job_table.hpp"
 #include "arbutusdale/sched/advisor.hpp"
+#include "arbutusdale/sched/crash_rate.hpp"
 #include "arbutusdale/sched/interference.hpp"
 #include "arbutusdale/sched/job_mover.hpp"
 #include "arbutusdale/sched/placement.hpp"
@@ -315,7 +316,11 @@
   [[nodiscard]] std::vector<CrashVictim> crash_victims(Worker& worker);
   void record_crashes(const Worker& worker, const std::vector<CrashVictim>& victims,
                       const char* proof);
+  void note_silence(const Worker& worker);
   void record_crash(Task& task, const CrashedRun& run);
+  void give_up_causes(const std::vector<CrashVictim>& victims);
+  static Task* find_cause(const std::vector<CrashVictim>& victims);
+  void estimate_chance(Task& task) const;
   void give_up(Task& task);
   /// True when a start of the task must be stored before it is sent, so that a crash that ends the
   /// leader as well is still recorded for the task.
@@ -355,6 +360,7 @@
   WorkerTable m_workers;
   ReadyQueue m_ready;
   InterferenceTable m_interference;
+  CrashRate m_crash_rate;
   WorkerScarcity m_scarcity;
   ServingAffinity m_affinity;
   TicketCache m_tickets;
--- a/include/arbutusdale/sched/worker_table.hpp
+++ b/include/arbutusdale/sched/worker_table.hpp
@@ -194,6 +194,7 @@
   [[nodiscard]] const std::vector<std::unique_ptr<Worker>>& all() const { return m_workers; }
   [[nodiscard]] WithheldCount count_withheld(const std::string& service, TimePoint now) const;
   [[nodiscard]] IsolationCount count_isolating() const;
+  [[nodiscard]] std::size_t count_registered() const;
 
  private:
   std::vector<std::unique_ptr<Worker>> m_workers;  // by slot
--- a/src/arbutusdale/sched/crash_history.cpp
+++ b/src/arbutusdale/sched/crash_history.cpp
@@ -1,6 +1,8 @@
 // Rules by which a task becomes a suspect, and by which it counts as the cause of crashes.
 #include "arbutusdale/sched/crash_history.hpp"
 
+#include "arbutusdale/sched/crash_rate.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -10,9 +12,11 @@
 // Crashes right after a start that prove the cause, if the last run was isolated. Two may be a
 // coincidence on a fleet whose workers crash often.
 constexpr std::size_t k_proving_crashes = 3;
-// Limits without a proof: crashes in a row of unsettled runs, and of any.
+// Crashes in a row, of unsettled runs and of any, that convict if their chance is below
+// k_least_chance. Those of unsettled runs also do if the last run was isolated.
 constexpr std::size_t k_max_unsettled_crashes = 4;
 constexpr std::size_t k_max_crashes = 5;
+constexpr double k_least_chance = 1e-3;
 
 }  // namespace
 
@@ -56,15 +60,55 @@
   return recent_unsettled_crashes() == 1;
 }
 
+void CrashHistory::estimate_chance(const CrashRate& rate, std::size_t others) {
+  for (CrashedRun& run : m_runs) {
+    if (run.silent_at == TimePoint{}) {
+      continue;
+    }
+    if (rate.is_explained(run.worker, run.silent_at)) {
+      run.expected_crashes.reset();
+      continue;
+    }
+    const auto expected = rate.expected_crashes(run.worker, run.begun_at, run.silent_at, others);
+    if (expected) {
+      run.expected_crashes = expected;
+    }
+  }
+}
+
 bool CrashHistory::is_cause() const {
+  return chance() < k_least_chance;
+}
+
+bool CrashHistory::is_proved() const {
   if (m_runs.empty()) {
     return false;
   }
   const CrashedRun& last = m_runs.back();
-  const bool proved =
-      last.isolated && last.begun && !last.settled && recent_prompt_crashes() >= k_proving_crashes;
-  return proved || recent_unsettled_crashes() >= k_max_unsettled_crashes ||
-         m_runs.size() >= k_max_crashes;
+  if (!last.isolated || last.settled) {
+    return false;
+  }
+  const bool is_prompt = last.begun && recent_prompt_crashes() >= k_proving_crashes;
+  return is_prompt || recent_unsettled_crashes() >= k_max_unsettled_crashes;
+}
+
+double CrashHistory::chance() const {
+  if (is_proved()) {
+    return 0;
+  }
+  std::size_t crashes = 0;
+  std::size_t unsettled = 0;
+  double expected = 0;
+  for (const CrashedRun& run : m_runs) {
+    if (!run.expected_crashes) {
+      continue;
+    }
+    ++crashes;
+    unsettled += run.settled ? 0 : 1;
+    expected += *run.expected_crashes;
+  }
+  const bool has_enough = crashes >= k_max_crashes || unsettled >= k_max_unsettled_crashes;
+  return has_enough ? chance_of_crashes(crashes, expected) : 1;
 }
 
 std::string CrashHistory::workers() const {
--- a/src/arbutusdale/sched/scheduler_crashes.cpp
+++ b/src/arbutusdale/sched/scheduler_crashes.cpp
@@ -42,6 +42,10 @@
 
 // The runs that were on the worker when it crashed, those that have been dropped since included.
 std::vector<Scheduler::CrashVictim> Scheduler::crash_victims(Worker& worker) {
+  // Without a silence, the worker has restarted between two polls.
+  if (worker.silent_since == TimePoint{} && worker.entry.state != WorkerState::draining) {
+    m_crash_rate.note_silence(worker.entry.id, m_timer.now());
+  }
   std::vector<CrashVictim> victims;
   for (const RunRef& ref : worker.runs) {
     const Run* run = ref.task->find_run(ref.number);
@@ -51,6 +55,10 @@
     CrashedRun crashed = worker.describe_run(*run);
     // Either incarnation of a restarted worker may have answered the start.
     crashed.begun = run->listed || (crashed.begun && worker.silent_since > run->begun_at);
+    if (worker.silent_since == TimePoint{}) {
+      crashed.silent_at = m_timer.now();
+      crashed.begun_at = crashed.begun ? run->begun_at : crashed.silent_at;
+    }
     victims.push_back({ref.task, std::move(crashed)});
   }
   for (const jobs::TaskId& id : std::exchange(worker.lost_tasks, {})) {
@@ -99,6 +107,14 @@
       record_crash(*victim.task, victim.run);
     }
   }
+  give_up_causes(victims);
+}
+
+// A worker that drains falls silent when it exits.
+void Scheduler::note_silence(const Worker& worker) {
+  if (worker.entry.state != WorkerState::draining) {
+    m_crash_rate.note_silence(worker.entry.id, worker.silent_since);
+  }
 }
 
 void Scheduler::record_crash(Task& task, const CrashedRun& run) {
@@ -106,12 +122,40 @@
   if (job.ending || task.phase == TaskPhase::done || !task.crashes.add(run)) {
     return;
   }
+  estimate_chance(task);
   mark_dirty(job);
-  if (task.crashes.is_cause()) {
-    give_up(task);
+}
+
+// Gives up the tasks that have caused crashes, the least likely victim first: the others may have
+// lost their runs by its crashes alone.
+void Scheduler::give_up_causes(const std::vector<CrashVictim>& victims) {
+  while (Task* cause = find_cause(victims)) {
+    give_up(*cause);
+    for (const CrashVictim& victim : victims) {
+      estimate_chance(*victim.task);
+    }
   }
 }
 
+Task* Scheduler::find_cause(const std::vector<CrashVictim>& victims) {
+  Task* cause = nullptr;
+  for (const auto& [task, run] : victims) {
+    const bool is_over = task->step->job->ending || task->phase == TaskPhase::done;
+    if (is_over || !task->crashes.is_cause()) {
+      continue;
+    }
+    if (cause == nullptr || task->crashes.chance() < cause->crashes.chance()) {
+      cause = task;
+    }
+  }
+  return cause;
+}
+
+void Scheduler::estimate_chance(Task& task) const {
+  const std::size_t workers = m_workers.count_registered();
+  task.crashes.estimate_chance(m_crash_rate, workers > 0 ? workers - 1 : 0);
+}
+
 // The task would crash each worker that starts it.
 void Scheduler::give_up(Task& task) {
   Job& job = *task.step->job;
@@ -126,6 +170,9 @@
       .add("isolated", last.isolated ? 1 : 0)
       .add_ms("last_run_age_ms", last.age)
       .write();
+  for (const CrashedRun& run : task.crashes.runs()) {
+    m_crash_rate.explain_silence(run.worker, run.silent_at);
+  }
   finish_job(job, JobState::FAILED);
 }
 
--- a/src/arbutusdale/sched/scheduler_polling.cpp
+++ b/src/arbutusdale/sched/scheduler_polling.cpp
@@ -110,6 +110,8 @@
   // A later incarnation may have an earlier birth, since the time of day can jump.
   if (reply->incarnation != 0 && reply->incarnation != worker.entry.incarnation) {
     begin_incarnation(worker, reply->incarnation);
+  } else if (worker.silent_since != TimePoint{}) {
+    m_crash_rate.forget_silence(worker.entry.id, worker.silent_since);
   }
   worker.lease.observe_clock(reply->clock_ms, now);
   if (worker.unanswered_polls > 0 || !worker.has_answered) {
@@ -148,6 +150,7 @@
   }
   if (worker.silent_since == TimePoint{}) {
     worker.silent_since = m_timer.now();
+    note_silence(worker);
   }
   // One incarnation has an address at a time.
   const bool is_replaced = error.reason == OrderFailure::incarnation_mismatch &&
--- a/src/arbutusdale/sched/worker_table.cpp
+++ b/src/arbutusdale/sched/worker_table.cpp
@@ -69,6 +69,8 @@
   crashed.begun = run.begun_at != TimePoint{};
   crashed.isolated = run.isolation == Isolation::alone;
   crashed.grouped = run.isolation == Isolation::grouped;
+  crashed.silent_at = silent_since;
+  crashed.begun_at = crashed.begun ? std::min(run.begun_at, silent_since) : silent_since;
   if (crashed.begun) {
     crashed.age = std::max(last_alive - run.begun_at, Duration::zero());
     crashed.settled = crashed.age >= k_settling_time;
@@ -194,6 +196,12 @@
   return count;
 }
 
+std::size_t WorkerTable::count_registered() const {
+  const auto count = std::count_if(m_workers.begin(), m_workers.end(),
+                                   [](const auto& worker) { return worker->registered; });
+  return static_cast<std::size_t>(count);
+}
+
 IsolationCount WorkerTable::count_isolating() const {
   IsolationCount count;
   for (const auto& worker : m_workers) {
