--- a/src/arbutusdale/sched/crash_rate.cpp
+++ b/src/arbutusdale/sched/crash_rate.cpp
@@ -49,14 +49,13 @@
 
 std::optional<double> CrashRate::expected_crashes(std::string_view worker, TimePoint begun_at,
                                                   TimePoint silent_at, std::size_t others) const {
-  const TimePoint first = begun_at - k_common_cause_time;
   const TimePoint last = silent_at + k_common_cause_time;
-  if (first < m_known_since) {
+  if (begun_at < m_known_since) {
     return std::nullopt;
   }
   const auto crashes =
       std::count_if(m_silences.begin(), m_silences.end(), [&](const Silence& silence) {
-        return !silence.explained && silence.since >= first && silence.since <= last &&
+        return !silence.explained && silence.since >= begun_at && silence.since <= last &&
                silence.worker != worker;
       });
   const double of_others =
