State the room of a shard while its leader is busy

Cause: callers saw lasting tasks without a run for many seconds on the large site, with room in other shards. A shard's room is stated in the leader's heartbeats, which were written only while the leader wrote nothing else. A busy leader writes progress all the time, so the other shards knew the room that it had while it was idle, and handed jobs over to the fullest shards.

Shards 1 and 2 logged 312 and 347 moves to each other, while the room of shard 2 fell from 1,798 free processors at 5 s to -22,872 at 37 s (less than what waits). The lost task's job went 1, 2, 1, 2 within 1.2 s, which used up its moves. Of 262 lasting jobs, 18 of the 25 that were moved three times had a task that waited over 3 s, and 2 of the 201 that were never moved.

Change: where there are several shards, a heartbeat is written when the last one is older than the interval, also beside other records, and not while one is unanswered. It joins the batch that is written next.

Result: full_shards/a_busy_leader_states_its_room fails before (a full shard states 18 free processors) and passes; fleet_test passes (76 of 76), as do sched_test (174 of 174) and adapter_test (56 of 56).

--- a/include/arbutusdale/fleet/leader.hpp
+++ b/include/arbutusdale/fleet/leader.hpp
@@ -64,6 +64,8 @@
   void write(std::vector<store::KeyedValue> entries, std::function<void(bool)> done) override;
 
   void send_heartbeat();
+  /// True when the other shards know the room of this one as it was some time ago.
+  [[nodiscard]] bool is_stated_room_outdated() const;
   void update_order_limits(std::optional<TimePoint> jobs_fresh_as_of);
   [[nodiscard]] jobs::Leadership make_record(bool released) const;
 
@@ -79,6 +81,8 @@
   std::unique_ptr<ShardWorkers> m_shard_workers;
   std::unique_ptr<sched::WorkerDirectory> m_directory;
   bool m_releasing = false;
+  bool m_heartbeat_in_flight = false;
+  TimePoint m_room_stated_at{};  // by the last heartbeat
 };
 
 }  // namespace arbutusdale::fleet
--- a/src/arbutusdale/fleet/leader.cpp
+++ b/src/arbutusdale/fleet/leader.cpp
@@ -122,10 +122,20 @@
 void Leader::send_heartbeat() {
   const TimePoint last =
       std::max(m_claim.claimed_at, m_log.last_success_sent().value_or(TimePoint{}));
-  if (!m_log.is_idle() || m_timer.now() - last < k_leader_heartbeat_interval) {
+  const bool is_silent = m_log.is_idle() && m_timer.now() - last >= k_leader_heartbeat_interval;
+  if (!is_silent && !is_stated_room_outdated()) {
     return;
   }
-  write({jobs::encode(make_record(false))}, [](bool) {});
+  m_room_stated_at = m_timer.now();
+  m_heartbeat_in_flight = true;
+  write({jobs::encode(make_record(false))}, [this](bool) { m_heartbeat_in_flight = false; });
+}
+
+// Any record proves that the leader is alive, but only heartbeats state the room. A busy leader
+// writes other records all the time, and its shard is the one that fills up.
+bool Leader::is_stated_room_outdated() const {
+  return m_rooms.has_other_shards() && !m_heartbeat_in_flight &&
+         m_timer.now() - m_room_stated_at >= k_leader_heartbeat_interval;
 }
 
 void Leader::delete_progress(const std::vector<jobs::JobId>& jobs) {
