Reject pages of a scan that can't be read in full

Cause: a page of newest records whose `Value`, `HasMore` or `End` could not be read was taken for a deletion, for the last page, or for the end 0. A daemon that restarts would have answered 410 for an accepted job, and a page cut short would have hidden all keys behind it.

The follower logs it, keeps what it has delivered, lets its view grow old, and asks again from the first page, after 150 ms at first and 2 s at most, without end. A record that stays unreadable therefore loses nothing: daemons that have read the partition go on from its log, one that starts is not ready until the page can be read. A truncated reply to a read is repeated in the same way.

--- a/include/arbutusdale/store/metadata_store.hpp
+++ b/include/arbutusdale/store/metadata_store.hpp
@@ -96,6 +96,7 @@
 enum class ReadFailure : std::uint8_t {
   trimmed,      ///< the records asked for have expired
   unavailable,  ///< no reply, or the store refused the read
+  malformed,    ///< the reply can't be read, and proves nothing about the partition
 };
 
 struct ReadError {
--- a/include/arbutusdale/store/partition_follower.hpp
+++ b/include/arbutusdale/store/partition_follower.hpp
@@ -1,5 +1,7 @@
 // Follows one keyed partition: scans the newest record of each key, then reads every later record,
-// and scans again when records expired before they were read.
+// and scans again when records expired before they were read. A reply that can't be read is asked
+// for again, with growing delays and without end: a scan is complete only once all of its pages
+// have been read, since a key that it leaves out counts as deleted.
 #pragma once
 
 #include "arbutusdale/core/timer.hpp"
@@ -69,7 +71,9 @@
   void note_end(std::uint64_t end, std::uint64_t read_through);
   void on_read(const ReadReply& reply, TimePoint sent);
   void deliver(const std::vector<Record>& records);
-  void on_error(const ReadError& error);
+  /// Reports the error. Returns the time until the next attempt.
+  Duration on_error(const ReadError& error);
+  Duration on_malformed(const ReadError& error);
   void schedule(Duration delay, void (PartitionFollower::*method)());
   void rescan();
 
@@ -81,6 +85,7 @@
 
   bool m_loaded = false;
   bool m_available = true;
+  int m_malformed_replies = 0;  // since the last complete scan or readable reply to a read
   std::uint64_t m_next_offset = 0;
   bool m_end_is_lower = false;              // than what has been read, as of the last reply
   std::optional<std::uint64_t> m_scan_end;  // end of the partition when the scan started
--- a/src/arbutusdale/store/partition_follower.cpp
+++ b/src/arbutusdale/store/partition_follower.cpp
@@ -15,6 +15,9 @@
 using observe::EventLine;
 
 constexpr Duration k_retry_delay = std::chrono::milliseconds{150};
+// A reply that can't be read may stay so, and each one costs the store a whole page.
+constexpr Duration k_max_retry_delay = std::chrono::seconds{2};
+constexpr int k_max_doublings = 4;              // of the delay, to reach its maximum
 constexpr int k_latency_smoothing_divisor = 8;  // a new sample has a weight of 1/8
 
 }  // namespace
@@ -60,8 +63,7 @@
                    return;
                  }
                  if (!page) {
-                   on_error(page.error());
-                   schedule(k_retry_delay, &PartitionFollower::rescan);
+                   schedule(on_error(page.error()), &PartitionFollower::rescan);
                    return;
                  }
                  on_page(*page, started_at);
@@ -82,6 +84,7 @@
     return;
   }
   m_next_offset = *m_scan_end;
+  m_malformed_replies = 0;
   m_loaded = true;
   m_fresh_as_of = started_at;
   m_listener.on_scan_complete();
@@ -117,18 +120,19 @@
           on_read(*reply, sent);
           return;
         }
-        on_error(reply.error());
+        const Duration retry_delay = on_error(reply.error());
         if (reply.error().reason == ReadFailure::trimmed) {
           spdlog::warn("records of topic {} expired before they were read; scanning again",
                        m_options.partition.topic);
           rescan();
           return;
         }
-        schedule(k_retry_delay, &PartitionFollower::read);
+        schedule(retry_delay, &PartitionFollower::read);
       });
 }
 
 void PartitionFollower::on_read(const ReadReply& reply, TimePoint sent) {
+  m_malformed_replies = 0;
   if (!std::exchange(m_available, true)) {
     EventLine(Event::dependency_regained)
         .add("dependency", "store")
@@ -182,8 +186,7 @@
                    return;
                  }
                  if (!reply) {
-                   on_error(reply.error());
-                   m_timer.call_after(k_retry_delay, [this, alive] {
+                   m_timer.call_after(on_error(reply.error()), [this, alive] {
                      if (*alive) {
                        catch_up();
                      }
@@ -202,8 +205,8 @@
                });
 }
 
-void PartitionFollower::on_error(const ReadError& error) {
-  if (error.reason == ReadFailure::unavailable && std::exchange(m_available, false)) {
+Duration PartitionFollower::on_error(const ReadError& error) {
+  if (error.reason != ReadFailure::trimmed && std::exchange(m_available, false)) {
     EventLine(Event::dependency_lost)
         .add("dependency", "store")
         .add("call", "read")
@@ -212,6 +215,19 @@
         .add("error", error.message)
         .write();
   }
+  return error.reason == ReadFailure::malformed ? on_malformed(error) : k_retry_delay;
+}
+
+// What has been delivered stays, and fresh_as_of() does not advance, so that a daemon whose view
+// grows old says so instead of answering from it.
+Duration PartitionFollower::on_malformed(const ReadError& error) {
+  const int doublings = std::min(m_malformed_replies++, k_max_doublings);
+  const Duration delay = std::min(k_retry_delay * (1 << doublings), k_max_retry_delay);
+  spdlog::warn(
+      "topic {}, partition {}: the store's reply can't be read ({}); trying again in {} ms",
+      m_options.partition.topic, m_options.partition.index, error.message,
+      std::chrono::duration_cast<std::chrono::milliseconds>(delay).count());
+  return delay;
 }
 
 }  // namespace arbutusdale::store
