Count a claim only if the store's reply names its record

Cause: any successful reply to a claim made a daemon the leader. A store that takes a claim for a repeat of another append answers with that append's offset and stores nothing; another daemon's claim then succeeds with the same fencing token, which the workers can't tell apart.

Change: the claim counts if the reply's offset is the one that the claim was conditional on, and the end is beyond it. Any other reply is logged as `leadership_refused` with what it names, and its outcome is unknown: the daemon leads if it reads its record from the partition.

--- a/src/arbutusdale/fleet/shard_member.cpp
+++ b/src/arbutusdale/fleet/shard_member.cpp
@@ -7,6 +7,8 @@
 
 #include <utility>
 
+#include <fmt/format.h>
+
 namespace arbutusdale::fleet {
 namespace {
 
@@ -32,6 +34,12 @@
   return stable_hash(incarnation + "#" + std::to_string(fencing_token)) % k_claim_sequence_count;
 }
 
+/// True if the reply names the record of the claim, whose token is one more than its offset. A
+/// store that takes the claim for a repeat of another append answers with the offset of that one.
+bool names_claim(const store::AppendReply& reply, const LeadershipClaim& claim) {
+  return reply.first_offset + 1 == claim.fencing_token && reply.end >= claim.fencing_token;
+}
+
 Duration read_delay(const jobs::ShardLayout& layout) {
   return k_read_delay + (layout.count - 1) * k_read_delay_per_shard;
 }
@@ -195,7 +203,7 @@
 void ShardMember::on_claim_reply(
     const LeadershipClaim& claim,
     const tl::expected<store::AppendReply, store::AppendError>& reply) {
-  if (reply) {
+  if (reply && names_claim(*reply, claim)) {
     become_leader(claim);
     return;
   }
@@ -203,7 +211,9 @@
       .add("shard", m_shard)
       .add("term", claim.term)
       .add("token", claim.fencing_token)
-      .add("error", reply.error().message)
+      .add("error", reply ? fmt::format("the reply names offset {} and end {}", reply->first_offset,
+                                        reply->end)
+                          : reply.error().message)
       .write();
   m_election.on_claim_refused(m_deps.timer.now());
   // An earlier copy of this claim that had no answer may be stored, whatever this one is told.
--- a/src/arbutusdale/store/fake_store_test.hpp
+++ b/src/arbutusdale/store/fake_store_test.hpp
@@ -56,9 +56,10 @@
   int lost_replies = 0;        // number of appends that are applied and get no reply
   int false_refusals = 0;      // number of appends that are applied and answered as refused
   int unreadable_replies = 0;  // number of appends that are not applied and answered with nonsense
-  std::optional<AppendReply> wrong_reply;  // to the next append, which is not applied
-  bool forgets_replies = false;            // answers a repeat with the number that it expects
-  bool repeats_ignore_epoch = false;       // an append with a known number is a repeat in any epoch
+  std::optional<AppendReply> wrong_reply;        // to the next append, which is not applied
+  std::optional<AppendReply> wrong_claim_reply;  // the same, to the next claim of a producer
+  bool forgets_replies = false;                  // answers a repeat with the number that it expects
+  bool repeats_ignore_epoch = false;  // an append with a known number is a repeat in any epoch
   int late_appends = 0;  // number of appends that get no reply and are applied after `late_by`
   Duration late_by = std::chrono::seconds{3};
   Duration latency = std::chrono::milliseconds{10};
@@ -107,6 +108,10 @@
                            done(*std::exchange(wrong_reply, std::nullopt));
                            return;
                          }
+                         if (wrong_claim_reply && request.expected_end && request.stamp) {
+                           done(*std::exchange(wrong_claim_reply, std::nullopt));
+                           return;
+                         }
                          auto reply = apply(request);
                          if (false_refusals > 0) {
                            --false_refusals;
