Don't date the view of an empty partition after its check

Cause: a read of a missing topic is answered at once, and the store then confirms that the partition is empty. The follower took an empty reply that came after the read's waiting time for one to a read that had waited, and dated its view at the end of that time. With a check that took up to its timeout of 1 s, the view counted as more recent than the proof, by up to 600 ms for a shard's partition and 1 s for one of jobs.

Evidence: on the code before, `empty_partition/a_view_is_no_more_recent_than_the_check` fails for a check that is answered after 700 ms, with a waiting time of 600 ms. The bound of 1 s is by reading.

Change: a reply says whether the store waited for a record; a confirmed empty partition is as recent as the time at which the read was sent.

--- a/include/arbutusdale/store/metadata_store.hpp
+++ b/include/arbutusdale/store/metadata_store.hpp
@@ -91,6 +91,8 @@
   std::vector<Record> records;
   std::uint64_t next_offset = 0;  // of the record after the last one returned
   std::uint64_t end = 0;
+  bool waited_for_record =
+      true;  // an empty reply is true at the end of the wait that was asked for
 };
 
 enum class ReadFailure : std::uint8_t {
--- a/src/arbutusdale/store/partition_follower.cpp
+++ b/src/arbutusdale/store/partition_follower.cpp
@@ -152,9 +152,10 @@
     schedule(reply.records.empty() ? k_retry_delay : Duration::zero(), &PartitionFollower::read);
     return;
   }
-  // The store returns an empty reply only after the full wait.
+  // The store returns an empty reply only after the full wait, unless the topic does not exist.
   const Duration waited_for = std::chrono::milliseconds{m_options.wait_ms};
-  const bool waited_in_full = !has_records && m_timer.now() - sent >= waited_for;
+  const bool waited_in_full =
+      !has_records && reply.waited_for_record && m_timer.now() - sent >= waited_for;
   m_fresh_as_of = waited_in_full ? sent + waited_for : sent;
   m_listener.on_caught_up();
   // A read of a topic that does not exist yet returns at once, without waiting for a record.
