--- a/include/arbutusdale/store/metadata_store.hpp
+++ b/include/arbutusdale/store/metadata_store.hpp
@@ -91,11 +91,14 @@
   std::vector<Record> records;
   std::uint64_t next_offset = 0;  // of the record after the last one returned
   std::uint64_t end = 0;
+  bool waited_for_record =
+      true;  // an empty reply is true at the end of the wait that was asked for
 };
 
 enum class ReadFailure : std::uint8_t {
   trimmed,      ///< the records asked for have expired
   unavailable,  ///< no reply, or the store refused the read
+  malformed,    ///< the reply can't be read, and proves nothing about the partition
 };
 
 struct ReadError {
