--- a/include/arbutusdale/sched/scheduler.hpp
+++ b/include/arbutusdale/sched/scheduler.hpp
@@ -18,6 +18,7 @@
 #include "arbutusdale/sched/serving_affinity.hpp"
 #include "arbutusdale/sched/shard_room.hpp"
 #include "arbutusdale/sched/start_window.hpp"
+#include "arbutusdale/sched/suspect_limits.hpp"
 #include "arbutusdale/sched/task_table.hpp"
 #include "arbutusdale/sched/ticket_cache.hpp"
 #include "arbutusdale/sched/worker_directory.hpp"
@@ -68,12 +69,6 @@
   TimePoint poll_until = TimePoint::max();  // polls extend leases
 };
 
-/// Most workers on which suspects may run at a time.
-struct IsolationLimit {
-  std::size_t answering = 0;
-  std::size_t total = 0;  // with those that are silent under a suspect
-};
-
 /// What a shard lacks for a job.
 enum class Shortage : std::uint8_t {
   none,
@@ -260,8 +255,8 @@
   /// Places a suspect in a group that has begun.
   bool place_in_group(Task& task);
   void update_suspect_group_size();
-  /// The limit for a suspect that has waited for this time.
-  [[nodiscard]] IsolationLimit isolation_limit(Duration waited) const;
+  /// The limit for a suspect that has waited as long as the task.
+  [[nodiscard]] IsolationLimit isolation_limit_for(const Task& task) const;
   [[nodiscard]] bool may_isolate(const Task& task) const;
 
   // Orders and their answers, scheduler_orders.cpp.
--- a/include/arbutusdale/sched/worker_table.hpp
+++ b/include/arbutusdale/sched/worker_table.hpp
@@ -4,6 +4,7 @@
 #include "arbutusdale/core/clock.hpp"
 #include "arbutusdale/core/resources.hpp"
 #include "arbutusdale/sched/start_window.hpp"
+#include "arbutusdale/sched/suspect_limits.hpp"
 #include "arbutusdale/sched/task_table.hpp"
 #include "arbutusdale/sched/throttle_control.hpp"
 #include "arbutusdale/sched/worker_lease.hpp"
@@ -177,12 +178,6 @@
   std::size_t withheld = 0;
 };
 
-/// Workers that run a suspect which has not settled.
-struct IsolationCount {
-  std::size_t answering = 0;
-  std::size_t silent = 0;  // may have crashed
-};
-
 /// All workers known to the leader. Workers are never removed.
 class WorkerTable {
  public:
--- a/src/arbutusdale/sched/crashing_task_fixture_test.hpp
+++ b/src/arbutusdale/sched/crashing_task_fixture_test.hpp
@@ -1,6 +1,7 @@
 // Test fixture: jobs with tasks that crash the workers that start them, beside ordinary jobs.
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <cstdio>
@@ -99,6 +100,38 @@
     }
   }
 
+  /// Crashes each worker that starts a task of the jobs `first` to `last`, until every task has had
+  /// this many crashes.
+  void crash_until_each_task_had(std::uint32_t crashes, std::uint32_t first, std::uint32_t last) {
+    const auto had_less = [&](const jobs::TaskId& task) {
+      return fleet.counts_of(task).crashes < crashes;
+    };
+    const auto is_done = [&] {
+      for (std::uint32_t number = first; number <= last; ++number) {
+        if (had_less({job_id(number), 0, 0, 0})) {
+          return false;
+        }
+      }
+      return true;
+    };
+    const TimePoint limit = timer.now() + std::chrono::seconds{60};
+    while (!is_done()) {
+      cr_assert(timer.now() < limit);
+      timer.advance(std::chrono::milliseconds{50});
+      std::vector<std::string> ids;
+      for (const auto& [id, worker] : fleet.all()) {
+        const bool is_hit = std::any_of(worker->runs.begin(), worker->runs.end(),
+                                        [&](const FakeRun& run) { return had_less(run.task); });
+        if (is_hit) {
+          ids.push_back(id);
+        }
+      }
+      for (const std::string& id : ids) {
+        fleet.crash_and_return(id);
+      }
+    }
+  }
+
   /// Advances until another worker has crashed under a deadly task, `limit` at most. Returns false
   /// when none has.
   bool advance_to_crash(Duration limit) {
--- a/src/arbutusdale/sched/scheduler_waiting.cpp
+++ b/src/arbutusdale/sched/scheduler_waiting.cpp
@@ -110,7 +110,7 @@
   m_waiting_logged_at = now;
   const Step& step = *task->step;
   const IsolationCount isolation = m_workers.count_isolating();
-  const IsolationLimit limit = isolation_limit(now - task->ready_at);
+  const IsolationLimit limit = isolation_limit_for(*task);
   EventLine(Event::task_waiting)
       .add("job", step.job->id.view())
       .add("step", step.index)
--- a/src/arbutusdale/sched/suspect_limit_test.cpp
+++ b/src/arbutusdale/sched/suspect_limit_test.cpp
@@ -5,8 +5,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <set>
-#include <string>
-#include <vector>
 
 #include "crashing_task_fixture_test.hpp"
 #include <criterion/criterion.h>
@@ -28,39 +26,6 @@
   return static_cast<std::size_t>(count);
 }
 
-/// Crashes each worker that starts a task of the jobs `first` to `last`, until every task has had
-/// this many crashes.
-void crash_until_each_task_had(CrashFixture& f, std::uint32_t crashes, std::uint32_t first,
-                               std::uint32_t last) {
-  const auto had_less = [&](const jobs::TaskId& task) {
-    return f.fleet.counts_of(task).crashes < crashes;
-  };
-  const auto is_done = [&] {
-    for (std::uint32_t number = first; number <= last; ++number) {
-      if (had_less({job_id(number), 0, 0, 0})) {
-        return false;
-      }
-    }
-    return true;
-  };
-  const TimePoint limit = f.timer.now() + 60s;
-  while (!is_done()) {
-    cr_assert(f.timer.now() < limit);
-    f.timer.advance(50ms);
-    std::vector<std::string> ids;
-    for (const auto& [id, worker] : f.fleet.all()) {
-      const bool is_hit = std::any_of(worker->runs.begin(), worker->runs.end(),
-                                      [&](const FakeRun& run) { return had_less(run.task); });
-      if (is_hit) {
-        ids.push_back(id);
-      }
-    }
-    for (const std::string& id : ids) {
-      f.fleet.crash_and_return(id);
-    }
-  }
-}
-
 }  // namespace
 
 // Guards against sound tasks that wait on an idle fleet since two crashes in a row made them
@@ -73,7 +38,7 @@
   for (std::uint32_t i = 1; i <= k_jobs; ++i) {
     f.submit_serving(i, 1);
   }
-  crash_until_each_task_had(f, 2, 1, k_jobs);
+  f.crash_until_each_task_had(2, 1, k_jobs);
   f.timer.advance(f.fleet.return_delay + 200ms + k_longest_wait);
   for (std::uint32_t i = 1; i <= k_jobs; ++i) {
     cr_expect_eq(f.running_tasks(i), 1U, "job %u", i);
--- a/src/arbutusdale/sched/worker_table.cpp
+++ b/src/arbutusdale/sched/worker_table.cpp
@@ -196,12 +196,6 @@
   return count;
 }
 
-std::size_t WorkerTable::count_registered() const {
-  const auto count = std::count_if(m_workers.begin(), m_workers.end(),
-                                   [](const auto& worker) { return worker->registered; });
-  return static_cast<std::size_t>(count);
-}
-
 IsolationCount WorkerTable::count_isolating() const {
   IsolationCount count;
   for (const auto& worker : m_workers) {
@@ -214,6 +208,12 @@
   return count;
 }
 
+std::size_t WorkerTable::count_registered() const {
+  const auto count = std::count_if(m_workers.begin(), m_workers.end(),
+                                   [](const auto& worker) { return worker->registered; });
+  return static_cast<std::size_t>(count);
+}
+
 Worker* WorkerTable::find(const std::string& id) {
   const auto found = m_slots.find(id);
   return found == m_slots.end() ? nullptr : m_workers[found->second].get();
