Give up a task after ten crashes in a row, however likely they are

Found by review: many tasks that crash their workers some seconds after the start, such as a whole step, make each other's crashes seem likely, so that none was ever convicted and each went on crashing workers. Ten in a row convict whatever the rate.

--- a/src/arbutusdale/sched/crash_history.cpp
+++ b/src/arbutusdale/sched/crash_history.cpp
@@ -19,6 +19,9 @@
 // So many of them must be neither by another task nor under an earlier leader.
 constexpr std::size_t k_min_judged_crashes = 3;
 constexpr double k_least_chance = 1e-3;
+// So many in a row convict however likely they are: many tasks that crash their workers at the same
+// time make each other's crashes seem likely.
+constexpr std::size_t k_max_crashes_in_a_row = 10;
 
 }  // namespace
 
@@ -79,7 +82,7 @@
 }
 
 bool CrashHistory::is_cause() const {
-  return chance() < k_least_chance;
+  return m_runs.size() >= k_max_crashes_in_a_row || chance() < k_least_chance;
 }
 
 bool CrashHistory::is_proved() const {
--- a/src/arbutusdale/sched/crash_history_test.cpp
+++ b/src/arbutusdale/sched/crash_history_test.cpp
@@ -175,6 +175,16 @@
   cr_expect(!history.is_cause());
 }
 
+// Guards against a task that is started for ever because many others crash their workers, too.
+Test(crash_history, ten_crashes_in_a_row_convict_however_likely_they_are) {
+  CrashHistory history;
+  for (std::uint32_t number = 1; number <= 10; ++number) {
+    cr_expect(!history.is_cause(), "%u crashes", number - 1);
+    history.add(settled_crash(number, 2s));
+  }
+  cr_expect(history.is_cause());
+}
+
 // Guards against runs under an earlier leader that count as crashes in a quiet time.
 Test(crash_history, settled_crashes_of_unknown_times_prove_nothing) {
   const CrashRate quiet;
