Report no deletions by a scan if the store has lost records

If the store has lost acknowledged records, these are accepted jobs, and daemons that still knew them would have dropped them.

--- a/include/arbutusdale/store/partition_follower.hpp
+++ b/include/arbutusdale/store/partition_follower.hpp
@@ -36,6 +36,8 @@
   virtual void on_scan_started() {}
   /// A scan is complete: keys not delivered since it began no longer exist.
   virtual void on_scan_complete() {}
+  /// The partition ends before records that were delivered: the store has lost some.
+  virtual void on_records_lost() {}
   /// All records of a reply have been delivered.
   virtual void on_caught_up() {}
 };
--- a/src/arbutusdale/store/deletion_reporter.cpp
+++ b/src/arbutusdale/store/deletion_reporter.cpp
@@ -20,15 +20,21 @@
   m_listener.on_scan_started();
 }
 
+void DeletionReporter::on_records_lost() {
+  m_records_lost = true;
+  m_listener.on_records_lost();
+}
+
 // A record that was delivered before the scan began is in the scan unless its key was deleted. One
 // that is appended during the scan may not be; its key counts as seen if it has been delivered.
 void DeletionReporter::on_scan_complete() {
   std::vector<std::string> deleted;
   for (const auto& [key, scan] : m_keys) {
-    if (scan < m_scans) {
+    if (scan < m_scans && !m_records_lost) {
       deleted.push_back(key);
     }
   }
+  m_records_lost = false;
   for (std::string& key : deleted) {
     m_keys.erase(key);
     Record tombstone;
--- a/src/arbutusdale/store/deletion_reporter_test.cpp
+++ b/src/arbutusdale/store/deletion_reporter_test.cpp
@@ -88,3 +88,13 @@
   r.scan({"b"});
   cr_assert_eq(r.keys.tombstones, 1);
 }
+
+// Guards against accepted jobs that are dropped because the store has lost their records.
+Test(deletion_reporter, a_scan_after_a_loss_of_records_deletes_nothing) {
+  Reported r;
+  r.scan({"a", "b", "c"});
+  r.reporter.on_records_lost();
+  r.scan({"a"});
+  cr_assert_eq(r.keys.tombstones, 0);
+  cr_assert(r.keys.known == (Names{"a", "b", "c"}));
+}
--- a/src/arbutusdale/store/partition_follower.cpp
+++ b/src/arbutusdale/store/partition_follower.cpp
@@ -104,6 +104,7 @@
       .add("read_through", read_through)
       .add("end", end)
       .write();
+  m_listener.on_records_lost();
 }
 
 void PartitionFollower::read() {
