--- a/src/arbutusdale/sched/scheduler_moves.cpp
+++ b/src/arbutusdale/sched/scheduler_moves.cpp
@@ -127,7 +127,8 @@
   return !job.ending && (!job.has_started() || is_at_rest(job));
 }
 
-// Waits for the whole takeover, since tasks that wait for others are not located one by one.
+// A job that was taken over waits for all workers of the earlier roster: none of its tasks may have
+// a run, and those that have not started are not located.
 bool Scheduler::is_at_rest(const Job& job) const {
   const bool is_stored = !m_flushing && !m_dirty.contains(job.id) && !m_started.contains(job.id);
   if (!is_stored || (job.taken_over && !may_start_taken_over_jobs())) {
--- a/src/arbutusdale/sched/scheduler_placement.cpp
+++ b/src/arbutusdale/sched/scheduler_placement.cpp
@@ -150,7 +150,7 @@
   }
   if (!round.may_start_taken_over && awaits_earlier_leader(task)) {
     task.delay = StartDelay::earlier_leader;
-    return Visit::next_task;
+    return step.spec->gang() ? Visit::next_step : Visit::next_task;
   }
   if (task.is_stored_first && is_start_window_reserved()) {
     task.delay = StartDelay::start_window;
