Carry over to the next leader for which workers a task waits

Cause: each leader began the wait for silent workers anew, also for workers that had answered the leader before it, which had started none of the tasks that waited. The fence of single tasks has ended this for tasks that a record locates; a task without one still waited for all.

A task that is not located can only run on workers that have not answered the leader. 400 ms after a takeover with silent workers the leader stores them with the jobs that it has taken over, and stores further starts of their tasks before it sends them. The next leader waits for these workers only.

--- a/include/arbutusdale/sched/scheduler.hpp
+++ b/include/arbutusdale/sched/scheduler.hpp
@@ -176,6 +176,9 @@
   void move_runs_off_draining_worker(Worker& worker);
   /// True once no worker of the earlier roster may have runs that this leader does not know.
   [[nodiscard]] bool may_start_taken_over_jobs() const;
+  /// Stores once, a moment after the takeover, for which workers the tasks of the jobs that were
+  /// taken over wait, if there are any.
+  void hold_tasks_of_silent_workers();
   [[nodiscard]] bool may_start() const { return m_timer.now() <= m_order_limits.start_until; }
   [[nodiscard]] bool may_poll() const { return m_timer.now() <= m_order_limits.poll_until; }
   /// Time after which all leases of earlier leaders have expired.
@@ -228,7 +231,7 @@
   /// What a placement round has found so far.
   struct RoundState;
   /// Why the round examines no task of the step.
-  [[nodiscard]] static StartDelay delay_of_step(const Step& step, const RoundState& round);
+  [[nodiscard]] StartDelay delay_of_step(const Step& step, const RoundState& round) const;
   /// True while a run that an earlier leader has started may be alive, of the task or, if it is one
   /// of a gang, of another member. Asked only before all workers of the earlier roster are known.
   [[nodiscard]] bool awaits_earlier_leader(const Task& task) const;
@@ -395,6 +398,7 @@
   bool m_workers_loaded = false;
   bool m_jobs_caught_up = false;
   bool m_has_predecessor = false;
+  bool m_has_held_tasks = false;  // hold_tasks_of_silent_workers has done its work
   OrderLimits m_order_limits;
   bool m_place_due = false;
   bool m_round_scheduled = false;
--- a/include/arbutusdale/sched/takeover_fence.hpp
+++ b/include/arbutusdale/sched/takeover_fence.hpp
@@ -7,11 +7,15 @@
 //   Only records of lasting tasks and of tasks with crashes do, since the later starts of such a
 //   task are sent only after they are stored. A first start is sent at once, so a task without a
 //   record may run anywhere.
+// A run of any other task can be alive only on workers that have not answered this leader yet.
+// While it waits for them, it is held: its record names these workers, and its further starts are
+// stored first, so that the next leader does not wait for workers that fall silent later.
 #pragma once
 
 #include "arbutusdale/sched/task_table.hpp"
 
 #include <cstdint>
+#include <vector>
 
 namespace arbutusdale::sched {
 
@@ -30,11 +34,26 @@
 /// True if a run of the task that an earlier leader has started may be alive unknown to this one.
 [[nodiscard]] bool may_have_unknown_run(const Task& task, const WorkerTable& workers);
 
+/// True if a run of a held task of the job may be alive unknown to this leader.
+[[nodiscard]] bool awaits_silent_workers(const Job& job, const WorkerTable& workers);
+
+/// Workers that may have runs of an earlier leader that this one does not know.
+[[nodiscard]] std::vector<WorkerSlot> find_silent_workers(const WorkerTable& workers);
+
+/// Holds the tasks that are not located: since every other worker has answered, their runs can only
+/// be alive on the silent ones. Does nothing if the preceding leader's record holds tasks of the
+/// job, which wait for other workers.
+void hold_tasks(Job& job, const std::vector<WorkerSlot>& silent_workers);
+
 /// Chooses the tasks that the next record of the job names as located, and has their later starts
 /// stored first. Returns false when there are none.
 bool claim_locations(Job& job);
 
-/// Adds the task to the record of its step if it is named as located.
+/// Adds the workers to the record of the job that its held tasks wait for.
+void save_silent_workers(const Job& job, const WorkerTable& workers,
+                         proto::jobs::JobProgress& progress);
+
+/// Adds the task to the record of its step if it is named as located or held.
 void save_locations(const Task& task, const WorkerTable& workers, proto::jobs::StepProgress& entry);
 
 /// Restores what the leader of the term before `term` has recorded. A record of an earlier term
--- a/include/arbutusdale/sched/task_table.hpp
+++ b/include/arbutusdale/sched/task_table.hpp
@@ -126,6 +126,7 @@
   /// `earlier_workers` that has not answered yet. See takeover_fence.hpp.
   bool is_located = false;
   std::vector<WorkerSlot> earlier_workers;
+  bool is_held = false;                 // the same for the job's `silent_workers`
   bool claims_location = false;         // the next record names it as located
   bool is_stored_first = false;         // a record does, so no start is sent before it is stored
   TimePoint reserved_until{};           // a worker takes no other starts until then
@@ -156,6 +157,7 @@
   std::uint64_t remaining_ms = 0;  // estimated length of the longest chain that starts with it
   std::uint32_t tasks_done = 0;
   bool has_located_tasks = false;
+  bool has_held_tasks = false;
   std::string chosen_rack;          // of a same-rack step: the rack of its first start
   TimePoint next_full_search_at{};  // see PlacementRound
   TimePoint next_room_search_at{};  // see update_room_reservations
@@ -183,6 +185,7 @@
   bool ordered = false;            // this leader has decided to start a task of it
   std::uint32_t moves = 0;         // between shards
   std::uint32_t runs_through = 0;  // no run before the last move has a higher number
+  std::vector<WorkerSlot> silent_workers;  // may run its held tasks, until they have answered
   TimePoint next_move_search_at{};
   std::uint32_t next_occurrence = 0;
   std::uint32_t occurrences_done = 0;
--- a/src/arbutusdale/sched/scheduler.cpp
+++ b/src/arbutusdale/sched/scheduler.cpp
@@ -20,6 +20,8 @@
 // The last leases of an earlier leader were renewed before another daemon noticed its failure.
 // Longer than the longest lease plus clock drift.
 constexpr Duration k_earlier_lease_bound = std::chrono::milliseconds{6'500};
+// Workers that can be reached have answered a new leader within this time.
+constexpr Duration k_first_answer_time = std::chrono::milliseconds{400};
 // Time to stop the runs of a draining worker and to learn of their ends and checkpoints.
 constexpr Duration k_exit_margin = std::chrono::milliseconds{1'200};
 
@@ -249,6 +251,26 @@
          });
 }
 
+void Scheduler::hold_tasks_of_silent_workers() {
+  const bool is_due = m_has_predecessor && m_jobs_caught_up && !m_has_held_tasks &&
+                      m_timer.now() - m_started_at >= k_first_answer_time;
+  if (!is_due) {
+    return;
+  }
+  m_has_held_tasks = true;
+  if (may_start_taken_over_jobs()) {
+    return;
+  }
+  const std::vector<WorkerSlot> silent = find_silent_workers(m_workers);
+  for (const auto& [id, job] : m_tasks.jobs()) {
+    if (!job->taken_over || job->ending) {
+      continue;
+    }
+    hold_tasks(*job, silent);
+    mark_dirty(*job);
+  }
+}
+
 bool Scheduler::can_be_taken_over_at_once() const {
   const auto& workers = m_workers.all();
   return may_start_taken_over_jobs() &&
@@ -374,6 +396,7 @@
     m_evidence_due = true;
     m_affinity.update(m_interference, m_timer.now());
   }
+  hold_tasks_of_silent_workers();
   m_ready.refresh(m_timer.now());
   move_waiting_jobs();
   update_scarcity();
--- a/src/arbutusdale/sched/scheduler_placement.cpp
+++ b/src/arbutusdale/sched/scheduler_placement.cpp
@@ -107,9 +107,11 @@
   request_advice(round.unadvised);
 }
 
-StartDelay Scheduler::delay_of_step(const Step& step, const RoundState& round) {
+StartDelay Scheduler::delay_of_step(const Step& step, const RoundState& round) const {
   const bool is_held_back = step.job->taken_over && !round.may_start_taken_over;
-  if (is_held_back && !step.has_located_tasks) {
+  const bool any_may_start = step.has_located_tasks ||
+                             (step.has_held_tasks && !awaits_silent_workers(*step.job, m_workers));
+  if (is_held_back && !any_may_start) {
     return StartDelay::earlier_leader;
   }
   if (step.spec->opportunistic() && !round.batch_due) {
--- a/src/arbutusdale/sched/scheduler_storage.cpp
+++ b/src/arbutusdale/sched/scheduler_storage.cpp
@@ -115,6 +115,7 @@
   jobs::JobProgress progress = job.progress(m_workers, m_timer.wall_ms());
   if (names_located_tasks) {
     progress.set_term(m_options.term);
+    save_silent_workers(job, m_workers, progress);
   }
   if (trim_progress(progress, job.terms().max_attempts(), max_value_bytes())) {
     return progress;
--- a/src/arbutusdale/sched/takeover_fence.cpp
+++ b/src/arbutusdale/sched/takeover_fence.cpp
@@ -1,6 +1,7 @@
 // Evidence of the workers on which runs of a task may be alive, and its stored form.
 #include "arbutusdale/sched/takeover_fence.hpp"
 
+#include "arbutusdale/sched/task_bits.hpp"
 #include "arbutusdale/sched/worker_table.hpp"
 
 #include <algorithm>
@@ -39,11 +40,38 @@
 }
 
 // The starts of a gang's members must not wait for different writes.
+bool may_be_stored_first(const Step& step) {
+  return !step.spec->speculative() && !step.spec->gang();
+}
+
 bool may_be_claimed(const Task& task) {
-  const StepSpec& spec = *task.step->spec;
-  const bool is_of_kind = spec.long_running() || !task.crashes.runs().empty();
-  return task.is_located && task.phase != TaskPhase::done && is_of_kind && !spec.speculative() &&
-         !spec.gang();
+  const bool is_of_kind = task.step->spec->long_running() || !task.crashes.runs().empty();
+  return task.is_located && task.phase != TaskPhase::done && (is_of_kind || task.is_stored_first) &&
+         may_be_stored_first(*task.step);
+}
+
+void hold(Task& task) {
+  task.is_located = true;
+  task.is_held = true;
+  task.is_stored_first = true;
+  task.step->has_held_tasks = true;
+}
+
+bool has_held_tasks(const Job& job) {
+  return std::any_of(job.occurrences.begin(), job.occurrences.end(), [](const auto& occurrence) {
+    const auto& steps = occurrence->steps;
+    return std::any_of(steps.begin(), steps.end(),
+                       [](const Step& step) { return step.has_held_tasks; });
+  });
+}
+
+void restore_held_tasks(Job& job, const StepProgress& entry) {
+  for (std::uint32_t index = 0; index < entry.held().size() * k_tasks_per_byte; ++index) {
+    Task* task = job.find_task({job.id, entry.occurrence(), entry.step(), index});
+    if (task != nullptr && has_bit(entry.held(), index)) {
+      hold(*task);
+    }
+  }
 }
 
 void add_location(const Task& task, const Worker& worker, StepProgress& entry) {
@@ -56,6 +84,7 @@
 
 void locate(Task& task) {
   task.is_located = true;
+  task.is_held = false;
   task.earlier_workers.clear();
   task.step->has_located_tasks = true;
 }
@@ -76,7 +105,44 @@
   return worker.in_earlier_roster && !worker.has_answered && !worker.has_ended;
 }
 
+bool awaits_silent_workers(const Job& job, const WorkerTable& workers) {
+  return std::any_of(job.silent_workers.begin(), job.silent_workers.end(),
+                     [&workers](WorkerSlot slot) { return awaits_first_answer(workers.at(slot)); });
+}
+
+std::vector<WorkerSlot> find_silent_workers(const WorkerTable& workers) {
+  std::vector<WorkerSlot> silent;
+  for (const auto& worker : workers.all()) {
+    if (awaits_first_answer(*worker)) {
+      silent.push_back(worker->slot);
+    }
+  }
+  return silent;
+}
+
+void hold_tasks(Job& job, const std::vector<WorkerSlot>& silent_workers) {
+  if (has_held_tasks(job)) {
+    return;
+  }
+  job.silent_workers = silent_workers;
+  for (const auto& occurrence : job.occurrences) {
+    for (Step& step : occurrence->steps) {
+      if (!may_be_stored_first(step)) {
+        continue;
+      }
+      for (Task& task : step.tasks) {
+        if (!task.is_located && task.phase != TaskPhase::done) {
+          hold(task);
+        }
+      }
+    }
+  }
+}
+
 bool may_have_unknown_run(const Task& task, const WorkerTable& workers) {
+  if (task.is_held && awaits_silent_workers(*task.step->job, workers)) {
+    return true;
+  }
   return !task.is_located ||
          std::any_of(task.earlier_workers.begin(), task.earlier_workers.end(),
                      [&workers](WorkerSlot slot) { return awaits_first_answer(workers.at(slot)); });
@@ -96,10 +162,22 @@
   return any;
 }
 
+void save_silent_workers(const Job& job, const WorkerTable& workers, JobProgress& progress) {
+  for (const WorkerSlot slot : job.silent_workers) {
+    if (awaits_first_answer(workers.at(slot))) {
+      progress.add_silent_workers(workers.at(slot).entry.id);
+    }
+  }
+}
+
 void save_locations(const Task& task, const WorkerTable& workers, StepProgress& entry) {
   if (!task.claims_location) {
     return;
   }
+  if (task.is_held) {
+    set_bit(*entry.mutable_held(), task.index);
+    return;
+  }
   entry.add_located(task.index);
   for (const Run& run : task.runs) {
     const bool never_sent = run.phase == RunPhase::stopping && !run.sent && !run.listed;
@@ -123,7 +201,13 @@
   if (progress.term() == 0 || progress.term() + 1 != term) {
     return;
   }
+  for (const std::string& id : progress.silent_workers()) {
+    if (const Worker* worker = workers.find(id)) {
+      job.silent_workers.push_back(worker->slot);
+    }
+  }
   for (const StepProgress& entry : progress.steps()) {
+    restore_held_tasks(job, entry);
     for (const std::uint32_t index : entry.located()) {
       Task* task = job.find_task({job.id, entry.occurrence(), entry.step(), index});
       if (task != nullptr) {
@@ -146,7 +230,9 @@
   for (StepProgress& step : *progress.mutable_steps()) {
     step.clear_located();
     step.clear_locations();
+    step.clear_held();
   }
+  progress.clear_silent_workers();
 }
 
 }  // namespace arbutusdale::sched
--- a/src/arbutusdale/sched/takeover_fence_test.cpp
+++ b/src/arbutusdale/sched/takeover_fence_test.cpp
@@ -176,3 +176,61 @@
   cr_expect_eq(f.fleet.starts, 2U);
   f.expect_nothing_doubled();
 }
+
+// Guards against waits that begin anew with each leader: the worker that the first one waited for
+// is back, and another one, on which nothing can have been started, is silent now.
+Test(takeover_fence, a_task_that_waits_does_not_wait_for_workers_that_fall_silent_later) {
+  FenceFixture f;
+  const std::string serving = f.workers_with_runs().front();
+  JobBuilder job(2);
+  job.step(1, 7'000);  // not beside the serving task
+  f.submit(job);
+  f.timer.advance(100ms);
+  std::string lost;
+  for (const std::string& id : f.workers_with_runs()) {
+    lost = id == serving ? lost : id;
+  }
+  cr_assert_neq(lost, "");
+  std::vector<std::string> idle;
+  for (const auto& [id, worker] : f.fleet.all()) {
+    if (worker->runs.empty()) {
+      idle.push_back(id);
+    }
+  }
+  cr_assert_geq(idle.size(), 2U);
+  f.leaders.back()->kill();
+  f.fleet.crash_and_return(lost);
+  f.fleet.at(idle[0]).partitioned = true;
+  f.lead();
+  f.timer.advance(2s);
+  cr_assert_eq(f.running_tasks(2), 0U, "the first worker may run it");
+  f.leaders.back()->kill();
+  f.fleet.at(idle[0]).partitioned = false;
+  f.fleet.at(idle[1]).partitioned = true;
+  f.lead();
+  f.timer.advance(k_at_once);
+  cr_expect_eq(f.running_tasks(2), 1U);
+  f.timer.advance(10s);
+  cr_expect(f.state(2) == JobState::COMPLETED);
+  f.expect_nothing_doubled();
+}
+
+// Guards against a second run of such a task: the leader that held it starts it, and is followed by
+// one that would not wait for the worker.
+Test(takeover_fence, a_held_task_that_was_started_is_no_longer_held) {
+  FenceFixture f;
+  f.cut_off_idle_worker();
+  JobBuilder job(2);
+  job.step(1, 1'000);
+  f.submit(job);
+  f.fleet.work_of = [](const jobs::TaskId&) { return 60s; };
+  f.leaders.back()->kill();
+  f.lead();
+  f.timer.advance(10s);
+  for (const std::string& id : f.workers_with_runs()) {
+    f.fleet.at(id).partitioned = true;
+  }
+  f.change_leader();
+  f.timer.advance(12s);
+  f.expect_nothing_doubled();
+}
--- a/src/arbutusdale/sched/task_table.cpp
+++ b/src/arbutusdale/sched/task_table.cpp
@@ -3,6 +3,7 @@
 
 #include "arbutusdale/sched/crash_records.hpp"
 #include "arbutusdale/sched/takeover_fence.hpp"
+#include "arbutusdale/sched/task_bits.hpp"
 #include "arbutusdale/sched/worker_table.hpp"
 
 #include <algorithm>
@@ -22,19 +23,6 @@
 // Occurrences start this much after their time, since the clocks of machines differ.
 constexpr std::uint64_t k_occurrence_delay_ms = 60;
 
-bool has_bit(const std::string& bits, std::uint32_t index) {
-  const std::size_t byte = index / 8;
-  return byte < bits.size() && ((static_cast<unsigned char>(bits[byte]) >> (index % 8)) & 1U) != 0;
-}
-
-void set_bit(std::string& bits, std::uint32_t index) {
-  const std::size_t byte = index / 8;
-  if (byte >= bits.size()) {
-    bits.resize(byte + 1, '\0');
-  }
-  bits[byte] = static_cast<char>(static_cast<unsigned char>(bits[byte]) | (1U << (index % 8)));
-}
-
 std::uint64_t due_wall_ms(const JobSpec& spec, std::uint32_t occurrence) {
   if (spec.repeat_count() == 0) {
     return 0;
@@ -130,7 +118,7 @@
       }
       const bool is_empty = entry.done().empty() && entry.failed().empty() &&
                             entry.unsettled().empty() && entry.crashed().empty() &&
-                            entry.located().empty();
+                            entry.located().empty() && entry.held().empty();
       if (is_empty) {
         continue;
       }
@@ -191,7 +179,7 @@
     open_occurrence(job, job.next_occurrence++);
   }
   for (const StepProgress& entry : progress.steps()) {
-    for (std::uint32_t i = 0; i < entry.done().size() * 8; ++i) {
+    for (std::uint32_t i = 0; i < entry.done().size() * k_tasks_per_byte; ++i) {
       Task* task = job.find_task({job.id, entry.occurrence(), entry.step(), i});
       if (task != nullptr && has_bit(entry.done(), i)) {
         complete(*task);
