Spare overdue starts where starts that wait for the store fill the window

Cause: starts to workers that don't answer counted in full against the window of starts that are stored first, though the window spares them elsewhere, so suspects waited for their time-outs.

--- a/src/arbutusdale/sched/scheduler_placement.cpp
+++ b/src/arbutusdale/sched/scheduler_placement.cpp
@@ -27,6 +27,14 @@
 // counts as stuck.
 constexpr Duration k_room_reservation_delay = std::chrono::seconds{1};
 
+std::size_t count_overdue_starts(const WorkerTable& workers, TimePoint now) {
+  std::size_t overdue = 0;
+  for (const auto& worker : workers.all()) {
+    overdue += worker->overdue_starts(now);
+  }
+  return overdue;
+}
+
 }  // namespace
 
 struct Scheduler::RoundState {
@@ -337,18 +345,14 @@
 }
 
 bool Scheduler::is_start_window_full() const {
-  if (m_starts_in_flight < m_start_window.size()) {
-    return false;
-  }
-  std::size_t overdue = 0;
-  for (const auto& worker : m_workers.all()) {
-    overdue += worker->overdue_starts(m_timer.now());
-  }
-  return m_start_window.is_full(m_starts_in_flight, overdue);
+  return m_starts_in_flight >= m_start_window.size() &&
+         m_start_window.is_full(m_starts_in_flight, count_overdue_starts(m_workers, m_timer.now()));
 }
 
 bool Scheduler::is_start_window_reserved() const {
-  return m_starts_in_flight + m_starts_to_store >= m_start_window.size();
+  const std::size_t starts = m_starts_in_flight + m_starts_to_store;
+  return starts >= m_start_window.size() &&
+         m_start_window.is_full(starts, count_overdue_starts(m_workers, m_timer.now()));
 }
 
 void Scheduler::release_start_slot(Worker& worker) {
