Start a task of an opportunistic job without runs on shared processors

An opportunistic task started only where 80% of its processors were idle. On a fleet that is mostly free by commitment, other opportunistic runs kept them in use, so a job could have no run without a bound: starvation lifted only the guard against interference, after 1.5 s.

A starved job may now start one task where opportunistic runs use the processors, up to half of what the other runs leave there (and one task). The processors of other runs are not shared, and memory, accelerators, reserved room, tickets and throttling hold as before. Such runs are counted apart, so that they take no idle processors from others, and the longest wait goes first: with such starts in queue order, load/jobs_that_could_only_just_be_in_time_* had 15 jobs in time, where 18 are required. Suspects keep their own rules and get no shared processors.

starved_job_test on the code before: the cases of one job, of thirty, of a harmful image and of the bound all failed (no late job had a run after 3 s); that of the advised queue was added later and was not run there.

--- a/include/arbutusdale/sched/placement.hpp
+++ b/include/arbutusdale/sched/placement.hpp
@@ -33,6 +33,8 @@
   /// Allows opportunistic tasks beside serving tasks that they are believed to harm, as long as the
   /// tail latencies are low.
   bool allows_harm = false;
+  /// Allows opportunistic tasks where they share processors, see may_share_processors().
+  bool shares_processors = false;
   /// Allows suspects on workers on which other runs were started recently.
   bool ignores_recent_starts = false;
   /// Allows suspects only on workers that run a group of fewer ones, unless zero.
--- a/include/arbutusdale/sched/scheduler.hpp
+++ b/include/arbutusdale/sched/scheduler.hpp
@@ -244,6 +244,7 @@
   bool place_task(Task& task, PlacementRound& round);
   [[nodiscard]] bool is_starved(const Task& task) const;
   bool place_starved(Task& task);
+  void place_sharing(std::vector<Task*> starved);
   bool place_gang(Step& step);
   /// True when an answer must come before another start is sent.
   [[nodiscard]] bool is_start_window_full() const;
--- a/include/arbutusdale/sched/worker_table.hpp
+++ b/include/arbutusdale/sched/worker_table.hpp
@@ -3,6 +3,7 @@
 
 #include "arbutusdale/core/clock.hpp"
 #include "arbutusdale/core/resources.hpp"
+#include "arbutusdale/sched/opportunistic_room.hpp"
 #include "arbutusdale/sched/start_window.hpp"
 #include "arbutusdale/sched/suspect_limits.hpp"
 #include "arbutusdale/sched/task_table.hpp"
@@ -34,6 +35,7 @@
   Task* task = nullptr;
   std::uint32_t number = 0;
   Isolation isolation = Isolation::none;
+  bool shares_processors = false;  // an opportunistic one that found too few idle ones
 };
 
 /// A start order without an answer. It may still be carried out, even by the worker's next
@@ -84,6 +86,7 @@
   Resources committed;  // by all runs; without the processors of opportunistic ones
   std::uint64_t serving_cpu_millis = 0;
   std::uint64_t opportunistic_cpu_millis = 0;
+  std::uint64_t shared_cpu_millis = 0;  // of these, by runs that share processors
   std::vector<RunRef> runs;
   std::vector<UnansweredStart> unanswered;  // since k_late_order_bound
   /// Sending of the last poll or start without an answer that carries a lease or an
@@ -125,8 +128,8 @@
   [[nodiscard]] Resources room_kept_from(const Step& step) const;
   /// Number of runs of the step's tasks.
   [[nodiscard]] std::uint32_t runs_of(const Step& step) const;
-  /// Processors that no run is expected to use, in thousandths; negative when overcommitted.
-  [[nodiscard]] std::int64_t idle_cpu_millis() const;
+  [[nodiscard]] OpportunisticRoom opportunistic_room() const;
+  [[nodiscard]] std::int64_t idle_cpu_millis() const { return opportunistic_room().idle(); }
 
   /// True when no run was started recently, so that a suspect can be isolated here.
   [[nodiscard]] bool is_quiet(TimePoint now) const;
--- a/src/arbutusdale/sched/placement.cpp
+++ b/src/arbutusdale/sched/placement.cpp
@@ -18,8 +18,6 @@
 constexpr double k_reserved_workers_share = 0.1;
 constexpr double k_reserve_penalty = 2.5;
 constexpr double k_scarcity_weight = 2;
-// An opportunistic task starts only where at least this share of the processors it needs is idle.
-constexpr double k_min_idle_share = 0.8;
 constexpr Duration k_exploration_interval = std::chrono::milliseconds{1'500};
 // Share of its estimate that a task waits for its rack before it runs elsewhere, more slowly.
 constexpr double k_rack_wait_share = 0.5;
@@ -85,10 +83,11 @@
   return view.ignores_recent_starts || worker.is_quiet(view.now);
 }
 
-bool has_idle_processors(const Worker& worker, const Task& task) {
-  const auto idle = static_cast<double>(worker.idle_cpu_millis());
-  const auto need = static_cast<double>(task.step->need.cpu_millis);
-  return idle >= need * k_min_idle_share;
+bool has_opportunistic_room(const PlacementView& view, const Worker& worker, const Step& step) {
+  const OpportunisticRoom room = worker.opportunistic_room();
+  const std::uint64_t need = step.need.cpu_millis;
+  return has_idle_processors(room, need) ||
+         (view.shares_processors && may_share_processors(room, need));
 }
 
 bool fits_beside_reserved_room(const Worker& worker, const Step& step) {
@@ -113,7 +112,7 @@
   if (!step.spec->opportunistic()) {
     return Exclusion::none;
   }
-  if (!has_idle_processors(worker, task)) {
+  if (!has_opportunistic_room(view, worker, step)) {
     return Exclusion::capacity;
   }
   return accepts_image(view, worker, step.image) ? Exclusion::none : Exclusion::interference;
--- a/src/arbutusdale/sched/scheduler_advice.cpp
+++ b/src/arbutusdale/sched/scheduler_advice.cpp
@@ -59,6 +59,7 @@
     return {};
   }
   view.allows_harm = is_starved(*waiting);
+  view.shares_processors = view.allows_harm;
   std::vector<std::pair<double, WorkerSlot>> ranked;  // of equals, the first in slot order
   for (const auto& worker : m_workers.all()) {
     const bool useful =
--- a/src/arbutusdale/sched/scheduler_placement.cpp
+++ b/src/arbutusdale/sched/scheduler_placement.cpp
@@ -48,6 +48,7 @@
   std::unordered_set<const Step*> unplaced;  // steps found without a worker
   std::unordered_set<const Task*> examined_suspects;
   std::vector<Step*> unadvised;  // unplaced steps of advised queues, in queue order
+  std::vector<Task*> starved;    // found without a worker, at most one of a step
   /// By opportunistic image: smallest need for which this round has found no worker.
   std::unordered_map<ImageId, std::uint64_t> unplaced_cpu;
 };
@@ -102,6 +103,7 @@
     round.unplaced_suspects = 0;
     m_ready.for_each_in_turn(visit);
   }
+  place_sharing(std::move(round.starved));
   m_workers_examined += round.choices.workers_examined();
   request_advice(round.unadvised);
 }
@@ -190,6 +192,9 @@
     return Visit::next_task;  // the others don't
   }
   round.unplaced.insert(&step);
+  if (!is_gang && is_starved(task)) {
+    round.starved.push_back(&task);
+  }
   if (plain_batch) {
     round.unplaced_cpu[step.image] = step.need.cpu_millis;
   }
@@ -280,6 +285,30 @@
   return true;
 }
 
+// Starts tasks of jobs without runs where they share processors. The one that has waited longest
+// goes first, which in a backlog is late anyway; the others can still be in time if all tasks of
+// the job start together on idle processors.
+void Scheduler::place_sharing(std::vector<Task*> starved) {
+  std::stable_sort(starved.begin(), starved.end(), [](const Task* left, const Task* right) {
+    return left->ready_at < right->ready_at;
+  });
+  PlacementView view = placement_view();
+  view.allows_harm = true;
+  view.shares_processors = true;
+  for (Task* task : starved) {
+    if (is_start_window_full()) {
+      return;
+    }
+    if (!is_starved(*task)) {
+      continue;  // another task of the job has been started
+    }
+    m_workers_examined += m_workers.all().size();
+    if (const auto slot = choose_worker(view, *task)) {
+      start_run(*task, m_workers.at(*slot), next_run_number(*task));
+    }
+  }
+}
+
 // Starts all members of the gang with one run number, or none.
 bool Scheduler::place_gang(Step& step) {
   std::uint32_t number = 0;
--- a/src/arbutusdale/sched/scheduler_waiting.cpp
+++ b/src/arbutusdale/sched/scheduler_waiting.cpp
@@ -111,6 +111,9 @@
   const Step& step = *task->step;
   const IsolationCount isolation = m_workers.count_isolating();
   const IsolationLimit limit = isolation_limit_for(*task);
+  PlacementView view = placement_view();
+  view.allows_harm = is_starved(*task);
+  view.shares_processors = view.allows_harm && !task->crashes.is_suspect();
   EventLine(Event::task_waiting)
       .add("job", step.job->id.view())
       .add("step", step.index)
@@ -132,7 +135,7 @@
       .add("may_start", may_start() ? 1 : 0)
       .add("starts_in_flight", m_starts_in_flight)
       .add("expected_rooms", count_expected_rooms(placement_view(), *task))
-      .add("excluded", count_exclusions(placement_view(), *task))
+      .add("excluded", count_exclusions(view, *task))
       .write();
 }
 
--- a/src/arbutusdale/sched/worker_table.cpp
+++ b/src/arbutusdale/sched/worker_table.cpp
@@ -44,12 +44,13 @@
   return static_cast<std::uint32_t>(count);
 }
 
-std::int64_t Worker::idle_cpu_millis() const {
-  const std::uint64_t others = committed.cpu_millis - serving_cpu_millis;
+OpportunisticRoom Worker::opportunistic_room() const {
+  const auto others = static_cast<std::int64_t>(committed.cpu_millis - serving_cpu_millis);
   const auto serving =
       static_cast<std::int64_t>(static_cast<double>(serving_cpu_millis) * k_serving_utilization);
-  return static_cast<std::int64_t>(entry.capacity.cpu_millis) - serving -
-         static_cast<std::int64_t>(others + opportunistic_cpu_millis);
+  return {static_cast<std::int64_t>(entry.capacity.cpu_millis) - serving - others,
+          static_cast<std::int64_t>(opportunistic_cpu_millis - shared_cpu_millis),
+          static_cast<std::int64_t>(shared_cpu_millis)};
 }
 
 bool Worker::is_quiet(TimePoint now) const {
@@ -82,11 +83,15 @@
 
 void Worker::add_run(Task& task, std::uint32_t number, Isolation isolation) {
   const Step& step = *task.step;
-  runs.push_back({&task, number, isolation});
+  const std::uint64_t opportunistic = step.spec->opportunistic() ? step.need.cpu_millis : 0;
+  const bool shares =
+      step.spec->opportunistic() && !has_idle_processors(opportunistic_room(), opportunistic);
+  runs.push_back({&task, number, isolation, shares});
   isolated_runs += isolation != Isolation::none ? 1 : 0;
   committed = plus(committed, reserved_resources(step));
   serving_cpu_millis += step.spec->long_running() ? step.need.cpu_millis : 0;
-  opportunistic_cpu_millis += step.spec->opportunistic() ? step.need.cpu_millis : 0;
+  opportunistic_cpu_millis += opportunistic;
+  shared_cpu_millis += shares ? opportunistic : 0;
 }
 
 void Worker::remove_run(const Task& task, std::uint32_t number) {
@@ -97,11 +102,13 @@
     return;
   }
   const Step& step = *task.step;
+  const std::uint64_t opportunistic = step.spec->opportunistic() ? step.need.cpu_millis : 0;
   isolated_runs -= found->isolation != Isolation::none ? 1 : 0;
+  opportunistic_cpu_millis -= opportunistic;
+  shared_cpu_millis -= found->shares_processors ? opportunistic : 0;
   runs.erase(found);
   committed = minus(committed, reserved_resources(step));
   serving_cpu_millis -= step.spec->long_running() ? step.need.cpu_millis : 0;
-  opportunistic_cpu_millis -= step.spec->opportunistic() ? step.need.cpu_millis : 0;
 }
 
 void Worker::end_isolation(const Task& task, std::uint32_t number) {
