--- a/src/arbutusdale/sched/starved_job_test.cpp
+++ b/src/arbutusdale/sched/starved_job_test.cpp
@@ -1,5 +1,8 @@
 // Tests that an opportunistic job without runs does not wait behind other opportunistic work on a
 // fleet that is mostly free of reserved tasks.
+#include "arbutusdale/sched/opportunistic_room.hpp"
+
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -157,3 +160,19 @@
   // Half as many processors again as the worker has.
   cr_expect_leq(fixture.fleet.running() * k_task_cpu_millis, k_worker_cpu_millis * 3 / 2);
 }
+
+// Guards against starved tasks on processors that other runs than opportunistic ones use, and
+// against a worker that takes more and more of them.
+Test(opportunistic_room, is_shared_up_to_half_of_what_is_left) {
+  cr_expect(may_share_processors({8'000, 8'000, 0}, 1'600));
+  cr_expect(may_share_processors({8'000, 8'000, 3'200}, 1'600));
+  cr_expect_not(may_share_processors({8'000, 8'000, 4'000}, 1'600));
+  cr_expect_not(may_share_processors({1'000, 0, 0}, 1'600));
+  cr_expect_not(may_share_processors({-1'000, 0, 0}, 1'600));
+}
+
+// Guards against runs that share processors and keep others from starting on idle ones.
+Test(opportunistic_room, shared_processors_stay_idle_for_others) {
+  cr_expect(has_idle_processors({8'000, 6'400, 4'000}, 1'600));
+  cr_expect_not(has_idle_processors({8'000, 8'000, 0}, 1'600));
+}
