Look at all tasks of a job in the waiting soak's attempts

has_exhausted_attempts() looked at the first four tasks of a job and of its first step, so that a wider job that had failed by its own attempts would count as a sound one given up. It looks at every task that has run now.

--- a/src/arbutusdale/sched/waiting_watch_test.hpp
+++ b/src/arbutusdale/sched/waiting_watch_test.hpp
@@ -179,11 +179,19 @@
     m_figures.longest_wait = std::max(m_figures.longest_wait, now() - since);
   }
 
+  /// True when any task of the job has failed in all its attempts.
   [[nodiscard]] bool has_exhausted_attempts(std::uint32_t number) const {
     constexpr std::uint32_t k_attempts = 3;  // as JobBuilder sets them; lasting tasks have no limit
-    constexpr std::uint32_t k_tasks = 4;
-    for (std::uint32_t i = 0; kind_of(number) != WaitingJob::lasting && i < k_tasks; ++i) {
-      if (m_fixture.fleet.counts_of({job_id(number), 0, 0, i}).failures >= k_attempts) {
+    if (kind_of(number) == WaitingJob::lasting) {
+      return false;
+    }
+    const std::string prefix = job_id(number).str() + ".";
+    const auto& counts = m_fixture.fleet.counts;  // by task
+    for (auto task = counts.lower_bound(prefix); task != counts.end(); ++task) {
+      if (!task->first.starts_with(prefix)) {
+        break;
+      }
+      if (task->second.failures >= k_attempts) {
         return true;
       }
     }
