Log the guards that hold for a task whose wait has lifted one

Cause: task_waiting counted the workers by a view that keeps opportunistic tasks from serving tasks which they are believed to harm. For a job without runs that guard is lifted after 1.5 s on a mostly free fleet, and since it is checked before the ticket, the line said `interference` for workers that only lacked a ticket.

Change: the line uses the view with which the task is placed. The reader of the event log in the capacity tests is in a header of its own, unchanged, so that another test can use it.

Measured: the new test sees `interference:4` without the change and `ticket:4` with it.

--- a/src/arbutusdale/sched/capacity_test.cpp
+++ b/src/arbutusdale/sched/capacity_test.cpp
@@ -1,8 +1,5 @@
 // Tests of workers whose capacity shrinks and grows again while they run tasks. The workers start
 // whatever they are told to start.
-#include "arbutusdale/observe/event_log.hpp"
-
-#include <array>
 #include <chrono>
 #include <cstdint>
 #include <cstdio>
@@ -11,10 +8,9 @@
 #include <string>
 #include <vector>
 
+#include "event_capture_test.hpp"
 #include "sched_fixture_test.hpp"
 #include <criterion/criterion.h>
-#include <fcntl.h>
-#include <unistd.h>
 
 using namespace arbutusdale;
 using namespace arbutusdale::sched;
@@ -122,29 +118,6 @@
   }
 };
 
-/// Collects the event log of this process.
-class EventCapture {
- public:
-  explicit EventCapture(const Clock& clock) {
-    cr_assert_eq(::pipe(m_ends.data()), 0);
-    cr_assert_neq(::fcntl(m_ends[0], F_SETFL, O_NONBLOCK), -1);
-    observe::open_event_log(m_ends[1], "daemon", clock, {});
-  }
-  /// The lines since the last call.
-  std::string read() const {
-    observe::flush_event_log();
-    std::string text;
-    std::array<char, 4'096> part{};
-    for (ssize_t size = 0; (size = ::read(m_ends[0], part.data(), part.size())) > 0;) {
-      text.append(part.data(), static_cast<std::size_t>(size));
-    }
-    return text;
-  }
-
- private:
-  std::array<int, 2> m_ends{};
-};
-
 StartOrder start_order(std::uint32_t job, std::uint32_t run) {
   StartOrder order;
   order.task = {job_id(job), 0, 0, run};
--- a/src/arbutusdale/sched/scheduler_waiting.cpp
+++ b/src/arbutusdale/sched/scheduler_waiting.cpp
@@ -109,6 +109,8 @@
   }
   m_waiting_logged_at = now;
   const Step& step = *task->step;
+  PlacementView view = placement_view();
+  view.allows_harm = is_starved(*task);  // as when it is placed
   const IsolationCount isolation = m_workers.count_isolating();
   const IsolationLimit limit = isolation_limit_for(*task);
   EventLine(Event::task_waiting)
@@ -132,7 +134,7 @@
       .add("may_start", may_start() ? 1 : 0)
       .add("starts_in_flight", m_starts_in_flight)
       .add("expected_rooms", count_expected_rooms(placement_view(), *task))
-      .add("excluded", count_exclusions(placement_view(), *task))
+      .add("excluded", count_exclusions(view, *task))
       .write();
 }
 
--- a/src/arbutusdale/sched/waiting_causes_test.cpp
+++ b/src/arbutusdale/sched/waiting_causes_test.cpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <string>
 
+#include "event_capture_test.hpp"
 #include "sched_fixture_test.hpp"
 #include <criterion/criterion.h>
 
@@ -67,3 +68,44 @@
   cr_assert_lt(load.longest_wait, k_longest_wait, "%ld ms",
                static_cast<long>(load.longest_wait.count() / 1'000));
 }
+
+// Guards against a log that names a guard which no longer holds for a job that has waited for long:
+// it may start beside serving tasks that it is believed to harm, and waits for a ticket alone.
+Test(waiting_causes, the_log_names_what_keeps_a_starved_task_waiting) {
+  FleetFixture fixture(4, 16'000);
+  FakeFleet& fleet = fixture.fleet;
+  const auto is_harmful = [](const FakeRun& run) { return run.task.job != job_id(1); };
+  fleet.work_of = [](const jobs::TaskId& task) { return task.job == job_id(1) ? 600s : 4s; };
+  fleet.tail_or_cpu_of = [&](const FakeWorker& worker, const FakeRun& run) -> std::uint64_t {
+    const bool is_harmed = std::any_of(worker.runs.begin(), worker.runs.end(), is_harmful);
+    return is_harmful(run) ? 1'000 : (is_harmed ? 200 : 10);
+  };
+  LeaderFixture leader(fixture.timer, fleet, fixture.log);
+  JobBuilder serving(1);
+  auto& step = serving.step(4, 2'000);
+  step.set_long_running(true);
+  step.set_tail_target_ms(24);
+  step.set_max_per_worker(1);
+  step.set_image("serving");
+  leader.submit(serving);
+  fixture.timer.advance(3s);
+  const auto submit_harmful = [&](std::uint32_t number, bool advised) {
+    JobBuilder job(number);
+    job.record.mutable_terms()->set_advised(advised);
+    auto& harmful = job.step(4, 1'000);
+    harmful.set_opportunistic(true);
+    harmful.set_image("harmful");
+    leader.submit(job);
+  };
+  submit_harmful(2, false);
+  fixture.timer.advance(30s);
+  leader.cancel(2);
+  fixture.timer.advance(30s);
+  fleet.needs_tickets = true;
+  const EventCapture events(fixture.timer);
+  submit_harmful(3, true);
+  fixture.timer.advance(5s);
+  const std::string text = events.read();
+  const std::string line = text.substr(std::min(text.rfind("task_waiting"), text.size()));
+  cr_assert_neq(line.find(R"("excluded":"ticket:4")"), std::string::npos, "%s", line.c_str());
+}
