Report the lasting task that waits longest on a line of its own

task_waiting named one task a second, the one without a run that had waited longest of all kinds. Lasting tasks and the tasks of other jobs without a run now have a line each; last_run tells whether a task has had a run before.

No test reads the log lines.

--- a/include/arbutusdale/sched/scheduler.hpp
+++ b/include/arbutusdale/sched/scheduler.hpp
@@ -124,6 +124,12 @@
   [[nodiscard]] bool is_flushed() const { return m_dirty.empty() && !m_flushing; }
 
  private:
+  /// Waiting tasks that are reported apart.
+  enum class WaitingKind : std::uint8_t {
+    lasting,
+    without_run,  ///< not lasting, and no task of the job has a run
+  };
+
   /// Whether a worker answers a poll at once or waits for a run to end.
   enum class PollWait : std::uint8_t { for_end, none };
 
@@ -237,9 +243,10 @@
   void reserve_room();
 
   // Log lines on tasks that wait, scheduler_waiting.cpp.
-  [[nodiscard]] const Task* find_longest_waiting_task() const;
+  [[nodiscard]] const Task* find_longest_waiting_task(WaitingKind kind) const;
   [[nodiscard]] std::size_t count_waiting_suspects() const;
-  void log_waiting_task();
+  void log_waiting_tasks();
+  void log_waiting_task(const Task& task) const;
   [[nodiscard]] PlacementView placement_view() const;
   bool place_task(Task& task, PlacementRound& round);
   [[nodiscard]] bool is_starved(const Task& task) const;
@@ -374,7 +381,7 @@
   std::set<jobs::JobId> m_finished;    // jobs to remove once their end is stored
   TimePoint m_started_at{};
   TimePoint m_evidence_saved_at{};
-  TimePoint m_waiting_logged_at{};  // last line on a task that waits
+  TimePoint m_waiting_logged_at{};  // last lines on tasks that wait
   bool m_evidence_due = false;
   bool m_flushing = false;
   /// Median speed of the workers with a recent sample; empty while there are too few.
--- a/src/arbutusdale/sched/scheduler.cpp
+++ b/src/arbutusdale/sched/scheduler.cpp
@@ -376,7 +376,7 @@
   reserve_room();
   update_suspect_group_size();
   update_typical_speed();
-  log_waiting_task();
+  log_waiting_tasks();
   m_place_due = true;
   m_roster_check_due = true;
   process_pending();
--- a/src/arbutusdale/sched/scheduler_waiting.cpp
+++ b/src/arbutusdale/sched/scheduler_waiting.cpp
@@ -71,11 +71,13 @@
 
 }  // namespace
 
-// Of lasting tasks, and of the tasks of jobs that have no run.
-const Task* Scheduler::find_longest_waiting_task() const {
+const Task* Scheduler::find_longest_waiting_task(WaitingKind kind) const {
   const Task* longest = nullptr;
-  m_ready.for_each_step([&longest](const Step& step, std::size_t) {
-    if (!step.spec->long_running() && step.job->has_runs()) {
+  m_ready.for_each_step([&](const Step& step, std::size_t) {
+    const bool is_lasting = step.spec->long_running();
+    const bool is_wanted =
+        kind == WaitingKind::lasting ? is_lasting : !is_lasting && !step.job->has_runs();
+    if (!is_wanted) {
       return;
     }
     for (const Task& task : step.tasks) {
@@ -98,30 +100,41 @@
   return count;
 }
 
-void Scheduler::log_waiting_task() {
+// Tasks that wait for processors which others leave idle mostly wait longer than lasting ones, so
+// each kind has a line of its own.
+void Scheduler::log_waiting_tasks() {
   const TimePoint now = m_timer.now();
   if (now - m_waiting_logged_at < k_report_interval) {
     return;
   }
-  const Task* task = find_longest_waiting_task();
-  if (task == nullptr || now - task->ready_at < k_reported_wait) {
-    return;
+  for (const WaitingKind kind : {WaitingKind::lasting, WaitingKind::without_run}) {
+    const Task* task = find_longest_waiting_task(kind);
+    if (task == nullptr || now - task->ready_at < k_reported_wait) {
+      continue;
+    }
+    m_waiting_logged_at = now;
+    log_waiting_task(*task);
   }
-  m_waiting_logged_at = now;
-  const Step& step = *task->step;
+}
+
+void Scheduler::log_waiting_task(const Task& task) const {
+  const TimePoint now = m_timer.now();
+  const Step& step = *task.step;
   const IsolationCount isolation = m_workers.count_isolating();
-  const IsolationLimit limit = isolation_limit_for(*task);
+  const IsolationLimit limit = isolation_limit_for(task);
   EventLine(Event::task_waiting)
       .add("job", step.job->id.view())
       .add("step", step.index)
-      .add("task", task->index)
-      .add_ms("waited_ms", now - task->ready_at)
+      .add("task", task.index)
+      .add_ms("waited_ms", now - task.ready_at)
       .add("cpu_millis", step.need.cpu_millis)
+      .add("lasting", step.spec->long_running() ? 1 : 0)
+      .add("last_run", task.last_run)
       .add("opportunistic", step.spec->opportunistic() ? 1 : 0)
-      .add("delay", enum_name(k_delay_names, task->delay))
-      .add_ms("examined_ms_ago", now - std::max(task->examined_at, task->ready_at))
-      .add("suspect", task->crashes.is_suspect() ? 1 : 0)
-      .add("unsettled_crashes", task->crashes.recent_unsettled_crashes())
+      .add("delay", enum_name(k_delay_names, task.delay))
+      .add_ms("examined_ms_ago", now - std::max(task.examined_at, task.ready_at))
+      .add("suspect", task.crashes.is_suspect() ? 1 : 0)
+      .add("unsettled_crashes", task.crashes.recent_unsettled_crashes())
       .add("waiting_suspects", count_waiting_suspects())
       .add("suspect_group_size", m_suspect_group_size)
       .add("isolating_workers", isolation.answering)
@@ -131,8 +144,8 @@
       .add("fleet_is_idle", m_fleet_is_idle ? 1 : 0)
       .add("may_start", may_start() ? 1 : 0)
       .add("starts_in_flight", m_starts_in_flight)
-      .add("expected_rooms", count_expected_rooms(placement_view(), *task))
-      .add("excluded", count_exclusions(placement_view(), *task))
+      .add("expected_rooms", count_expected_rooms(placement_view(), task))
+      .add("excluded", count_exclusions(placement_view(), task))
       .write();
 }
 
