Wait for unknown failures of a task, and not for a worker that a leader never reached

Found by the review of the fence of single tasks, each with a test that fails before: - An adopted run proves that no other is alive, but an earlier one may have failed on a silent worker and not be stored, so that the task started beyond its attempts (4 starts for 2). Only the first run of a task with a limit of attempts locates it now. - A silent worker that stays registered kept its place in the roster for good, so that each later leader waited for it. It leaves the roster once all earlier leases have expired, since this leader has sent it no order that binds.

sched_test takeover*: 13 of 13 pass; before, the two new tests fail (starts 4 for 2, 0 for 1).

--- a/include/arbutusdale/sched/takeover_fence.hpp
+++ b/include/arbutusdale/sched/takeover_fence.hpp
@@ -25,8 +25,10 @@
 /// This leader knows every run of the task from now on.
 void locate(Task& task);
 
-/// The worker that runs the task has listed the run for the first time under this leader.
-void note_live_run(Task& task);
+/// The worker that runs the task has listed the run `number` for the first time under this leader.
+/// If the task has a limit of attempts, an earlier run may have failed on a worker that has not
+/// answered, so only its first run locates it.
+void note_live_run(Task& task, std::uint32_t number);
 
 /// True while the worker may have runs of an earlier leader that this one does not know.
 [[nodiscard]] bool awaits_first_answer(const Worker& worker);
--- a/src/arbutusdale/sched/scheduler_roster.cpp
+++ b/src/arbutusdale/sched/scheduler_roster.cpp
@@ -56,8 +56,10 @@
 bool Scheduler::is_roster_outdated() const {
   const auto& workers = m_workers.all();
   return std::any_of(workers.begin(), workers.end(), [this](const auto& worker) {
-    // Others are added with their first answer, and stay while they are registered.
-    const bool is_leaving = worker->entry.state == WorkerState::draining || !worker->registered;
+    // Others are added with their first answer, and stay while they are registered. One that has
+    // not answered this leader has got no order from it.
+    const bool is_leaving = worker->entry.state == WorkerState::draining || !worker->registered ||
+                            (worker->in_earlier_roster && worker->last_answer == TimePoint{});
     return is_leaving == worker->in_roster && may_have_runs(*worker) != worker->in_roster;
   });
 }
--- a/src/arbutusdale/sched/scheduler_runs.cpp
+++ b/src/arbutusdale/sched/scheduler_runs.cpp
@@ -149,7 +149,7 @@
     run->order_sent_at = m_timer.now();
     run->throttle_percent = k_unknown_throttle_percent;
     worker.add_run(*task, row.run);
-    note_live_run(*task);
+    note_live_run(*task, row.run);
     EventLine(Event::run_adopted)
         .add("job", row.task.job.view())
         .add("step", row.task.step)
--- a/src/arbutusdale/sched/takeover_fence.cpp
+++ b/src/arbutusdale/sched/takeover_fence.cpp
@@ -14,6 +14,8 @@
 using proto::jobs::StepProgress;
 using proto::jobs::StepSpec;
 
+constexpr std::uint32_t k_first_run = 1;  // its number
+
 /// The step that a dependency names by its index precedes the dependent one.
 bool depends_on_any(const Step& step, const std::vector<bool>& steps) {
   const auto& after = step.spec->after();
@@ -89,12 +91,15 @@
   task.step->has_located_tasks = true;
 }
 
-void note_live_run(Task& task) {
+void note_live_run(Task& task, std::uint32_t number) {
   const StepSpec& spec = *task.step->spec;
   if (spec.speculative()) {
     return;  // another run may be alive
   }
-  locate(task);
+  const bool has_limit = !spec.long_running() && task.step->job->terms().max_attempts() > 0;
+  if (!has_limit || number == k_first_run) {
+    locate(task);
+  }
   // The step of a gang is done with the first of its runs, while the others are still alive.
   if (!spec.gang()) {
     locate_dependents(*task.step);
@@ -131,7 +136,8 @@
         continue;
       }
       for (Task& task : step.tasks) {
-        if (!task.is_located && task.phase != TaskPhase::done) {
+        const bool is_unknown = !task.is_located && task.runs.empty();
+        if (is_unknown && task.phase != TaskPhase::done) {
           hold(task);
         }
       }
--- a/src/arbutusdale/sched/takeover_fence_test.cpp
+++ b/src/arbutusdale/sched/takeover_fence_test.cpp
@@ -234,3 +234,59 @@
   f.timer.advance(12s);
   f.expect_nothing_doubled();
 }
+
+// Guards against a start beyond the attempts: an earlier run has failed on a silent worker, and
+// this leader has adopted the next one.
+Test(takeover_fence, an_adopted_task_is_not_started_beyond_its_attempts) {
+  CrashFixture f(4);
+  f.fleet.work_of = [](const jobs::TaskId&) { return 600s; };
+  f.lead();
+  f.timer.advance(1s);
+  JobBuilder job(2);
+  job.record.mutable_terms()->set_max_attempts(2);
+  job.step(1, 1'000);
+  f.submit(job);
+  f.timer.advance(1s);
+  const auto fail_run = [&f]() -> FakeWorker& {
+    const auto& workers = f.fleet.all();
+    const auto found = std::find_if(workers.begin(), workers.end(),
+                                    [](const auto& entry) { return !entry.second->runs.empty(); });
+    cr_assert(found != workers.end());
+    found->second->fails_all_runs = true;
+    f.timer.advance(100ms);
+    found->second->fails_all_runs = false;
+    return *found->second;
+  };
+  f.log.down = true;
+  FakeWorker& silent = fail_run();
+  f.timer.advance(200ms);
+  silent.partitioned = true;
+  f.leaders.back()->kill();
+  f.log.down = false;
+  f.lead();
+  f.timer.advance(1s);
+  fail_run();
+  f.timer.advance(3s);
+  silent.partitioned = false;
+  f.timer.advance(3s);
+  cr_expect_eq(f.fleet.starts, 2U);
+}
+
+// Guards against a leader that waits for a worker to which the one before it, which has outlived
+// all earlier leases, has sent no order.
+Test(takeover_fence, a_worker_that_was_silent_for_a_whole_term_is_not_awaited_again) {
+  CrashFixture f(4);
+  f.lead();
+  f.timer.advance(1s);
+  f.fleet.all().rbegin()->second->partitioned = true;
+  f.timer.advance(1s);
+  f.leaders.back()->kill();
+  f.lead();
+  f.timer.advance(10s);
+  f.leaders.back()->kill();
+  f.submit(3, 1);
+  f.lead();
+  f.timer.advance(k_at_once);
+  cr_expect_eq(f.fleet.starts, 1U);
+  f.expect_nothing_doubled();
+}
