--- a/src/arbutusdale/sched/waiting_known_red.cpp
+++ b/src/arbutusdale/sched/waiting_known_red.cpp
@@ -34,8 +34,8 @@
   expect_no_task_waits(storm_shape(), {.first = 2'600'002, .count = 1});
 }
 
-// Guards against a job that waits for workers which tasks crash after some seconds, while others are
-// withheld, silent, or kept for suspects.
+// Guards against a job that waits for workers which tasks crash after some seconds, while others
+// are withheld, silent, or kept for suspects.
 Test(waiting, no_task_waits_behind_a_task_that_crashes_workers_after_seconds) {
   expect_no_task_waits(late_shape(), {.first = 18, .count = 1});
 }
