Don't hold a task whose run has been adopted

Cause: since an adopted run that is not the task's first locates it no longer, and a task that was held stayed held. Its record named the silent workers that had not answered, which left out the one that ran it, so the next leader started it at once.

Such a task is located by nothing now, and waits as it did before there was a fence for single tasks.

--- a/src/arbutusdale/sched/takeover_fence.cpp
+++ b/src/arbutusdale/sched/takeover_fence.cpp
@@ -67,6 +67,12 @@
   });
 }
 
+void forget_location(Task& task) {
+  task.is_located = false;
+  task.is_held = false;
+  task.earlier_workers.clear();
+}
+
 void restore_held_tasks(Job& job, const StepProgress& entry) {
   for (std::uint32_t index = 0; index < entry.held().size() * k_tasks_per_byte; ++index) {
     Task* task = job.find_task({job.id, entry.occurrence(), entry.step(), index});
@@ -99,6 +105,8 @@
   const bool has_limit = !spec.long_running() && task.step->job->terms().max_attempts() > 0;
   if (!has_limit || number == k_first_run) {
     locate(task);
+  } else {
+    forget_location(task);
   }
   // The step of a gang is done with the first of its runs, while the others are still alive.
   if (!spec.gang()) {
--- a/src/arbutusdale/sched/takeover_fence_test.cpp
+++ b/src/arbutusdale/sched/takeover_fence_test.cpp
@@ -290,3 +290,43 @@
   cr_expect_eq(f.fleet.starts, 1U);
   f.expect_nothing_doubled();
 }
+
+// Guards against a record by which a held task runs nowhere, since the worker that runs it has
+// answered: the next leader would start it beside that run.
+Test(takeover_fence, a_held_task_whose_worker_has_answered_is_not_started_beside_its_run) {
+  CrashFixture f(4);
+  f.fleet.work_of = [](const jobs::TaskId& task) { return task.index == 0 ? 60s : 5s; };
+  f.lead();
+  f.timer.advance(1s);
+  JobBuilder job(2);
+  job.step(2, 7'000);  // on two workers
+  f.submit(job);
+  f.timer.advance(500ms);
+  for (const auto& [id, worker] : f.fleet.all()) {
+    worker->fails_all_runs = true;
+  }
+  f.timer.advance(20ms);
+  for (const auto& [id, worker] : f.fleet.all()) {
+    worker->fails_all_runs = false;
+  }
+  f.timer.advance(500ms);
+  FakeWorker* runs_first = nullptr;
+  for (const auto& [id, worker] : f.fleet.all()) {
+    const bool is_first = !worker->runs.empty() && worker->runs.front().task.index == 0;
+    runs_first = is_first ? worker.get() : runs_first;
+  }
+  cr_assert_neq(runs_first, nullptr);
+  cr_assert_gt(runs_first->runs.front().number, 1U);
+  runs_first->partitioned = true;
+  f.leaders.back()->kill();
+  f.lead();
+  f.timer.advance(1s);
+  runs_first->partitioned = false;
+  f.timer.advance(4s);  // the other task ends, so that the job is stored again
+  cr_assert_eq(f.running_tasks(2), 1U);
+  runs_first->partitioned = true;
+  f.leaders.back()->kill();
+  f.lead();
+  f.timer.advance(12s);
+  f.expect_nothing_doubled();
+}
