--- a/include/arbutusdale/sched/scheduler.hpp
+++ b/include/arbutusdale/sched/scheduler.hpp
@@ -124,6 +124,12 @@
   [[nodiscard]] bool is_flushed() const { return m_dirty.empty() && !m_flushing; }
 
  private:
+  /// Waiting tasks that are reported apart.
+  enum class WaitingKind : std::uint8_t {
+    lasting,
+    without_run,  ///< not lasting, and no task of the job has a run
+  };
+
   /// Whether a worker answers a poll at once or waits for a run to end.
   enum class PollWait : std::uint8_t { for_end, none };
 
@@ -176,6 +182,9 @@
   void move_runs_off_draining_worker(Worker& worker);
   /// True once no worker of the earlier roster may have runs that this leader does not know.
   [[nodiscard]] bool may_start_taken_over_jobs() const;
+  /// Stores once, a moment after the takeover, for which workers the tasks of the jobs that were
+  /// taken over wait, if there are any.
+  void hold_tasks_of_silent_workers();
   [[nodiscard]] bool may_start() const { return m_timer.now() <= m_order_limits.start_until; }
   [[nodiscard]] bool may_poll() const { return m_timer.now() <= m_order_limits.poll_until; }
   /// Time after which all leases of earlier leaders have expired.
@@ -228,7 +237,7 @@
   /// What a placement round has found so far.
   struct RoundState;
   /// Why the round examines no task of the step.
-  [[nodiscard]] static StartDelay delay_of_step(const Step& step, const RoundState& round);
+  [[nodiscard]] StartDelay delay_of_step(const Step& step, const RoundState& round) const;
   /// True while a run that an earlier leader has started may be alive, of the task or, if it is one
   /// of a gang, of another member. Asked only before all workers of the earlier roster are known.
   [[nodiscard]] bool awaits_earlier_leader(const Task& task) const;
@@ -243,13 +252,15 @@
   void reserve_room();
 
   // Log lines on tasks that wait, scheduler_waiting.cpp.
-  [[nodiscard]] const Task* find_longest_waiting_task() const;
+  [[nodiscard]] const Task* find_longest_waiting_task(WaitingKind kind) const;
   [[nodiscard]] std::size_t count_waiting_suspects() const;
-  void log_waiting_task();
+  void log_waiting_tasks();
+  void log_waiting_task(const Task& task) const;
   [[nodiscard]] PlacementView placement_view() const;
   bool place_task(Task& task, PlacementRound& round);
   [[nodiscard]] bool is_starved(const Task& task) const;
   bool place_starved(Task& task);
+  void place_sharing(std::vector<Task*> starved);
   bool place_gang(Step& step);
   /// True when an answer must come before another start is sent.
   [[nodiscard]] bool is_start_window_full() const;
@@ -383,7 +394,7 @@
   std::set<jobs::JobId> m_finished;    // jobs to remove once their end is stored
   TimePoint m_started_at{};
   TimePoint m_evidence_saved_at{};
-  TimePoint m_waiting_logged_at{};  // last line on a task that waits
+  TimePoint m_waiting_logged_at{};  // last lines on tasks that wait
   bool m_evidence_due = false;
   bool m_flushing = false;
   /// Median speed of the workers with a recent sample; empty while there are too few.
@@ -395,6 +406,7 @@
   bool m_workers_loaded = false;
   bool m_jobs_caught_up = false;
   bool m_has_predecessor = false;
+  bool m_has_held_tasks = false;  // hold_tasks_of_silent_workers has done its work
   OrderLimits m_order_limits;
   bool m_place_due = false;
   bool m_round_scheduled = false;
--- a/src/arbutusdale/sched/scheduler_placement.cpp
+++ b/src/arbutusdale/sched/scheduler_placement.cpp
@@ -27,6 +27,14 @@
 // counts as stuck.
 constexpr Duration k_room_reservation_delay = std::chrono::seconds{1};
 
+std::size_t count_overdue_starts(const WorkerTable& workers, TimePoint now) {
+  std::size_t overdue = 0;
+  for (const auto& worker : workers.all()) {
+    overdue += worker->overdue_starts(now);
+  }
+  return overdue;
+}
+
 }  // namespace
 
 struct Scheduler::RoundState {
@@ -49,6 +57,7 @@
   std::unordered_set<const Step*> unplaced;  // steps found without a worker
   std::unordered_set<const Task*> examined_suspects;
   std::vector<Step*> unadvised;  // unplaced steps of advised queues, in queue order
+  std::vector<Task*> starved;    // found without a worker, at most one of a step
   /// By opportunistic image: smallest need for which this round has found no worker.
   std::unordered_map<ImageId, std::uint64_t> unplaced_cpu;
 };
@@ -103,13 +112,16 @@
     round.unplaced_suspects = 0;
     m_ready.for_each_in_turn(visit);
   }
+  place_sharing(std::move(round.starved));
   m_workers_examined += round.choices.workers_examined();
   request_advice(round.unadvised);
 }
 
-StartDelay Scheduler::delay_of_step(const Step& step, const RoundState& round) {
+StartDelay Scheduler::delay_of_step(const Step& step, const RoundState& round) const {
   const bool is_held_back = step.job->taken_over && !round.may_start_taken_over;
-  if (is_held_back && !step.has_located_tasks) {
+  const bool any_may_start = step.has_located_tasks ||
+                             (step.has_held_tasks && !awaits_silent_workers(*step.job, m_workers));
+  if (is_held_back && !any_may_start) {
     return StartDelay::earlier_leader;
   }
   if (step.spec->opportunistic() && !round.batch_due) {
@@ -150,7 +162,7 @@
   }
   if (!round.may_start_taken_over && awaits_earlier_leader(task)) {
     task.delay = StartDelay::earlier_leader;
-    return Visit::next_task;
+    return step.spec->gang() ? Visit::next_step : Visit::next_task;
   }
   if (task.is_stored_first && is_start_window_reserved()) {
     task.delay = StartDelay::start_window;
@@ -213,6 +225,9 @@
     return Visit::next_task;  // the others don't
   }
   round.unplaced.insert(&step);
+  if (!is_gang && is_starved(task)) {
+    round.starved.push_back(&task);
+  }
   if (plain_batch) {
     round.unplaced_cpu[step.image] = step.need.cpu_millis;
   }
@@ -305,6 +320,30 @@
   return true;
 }
 
+// Starts tasks of jobs without runs where they share processors. The one that has waited longest
+// goes first, which in a backlog is late anyway; the others can still be in time if all tasks of
+// the job start together on idle processors.
+void Scheduler::place_sharing(std::vector<Task*> starved) {
+  std::stable_sort(starved.begin(), starved.end(), [](const Task* left, const Task* right) {
+    return left->ready_at < right->ready_at;
+  });
+  PlacementView view = placement_view();
+  view.allows_harm = true;
+  view.shares_processors = true;
+  for (Task* task : starved) {
+    if (is_start_window_full()) {
+      return;
+    }
+    if (!is_starved(*task)) {
+      continue;  // another task of the job has been started
+    }
+    m_workers_examined += m_workers.all().size();
+    if (const auto slot = choose_worker(view, *task)) {
+      start_run(*task, m_workers.at(*slot), next_run_number(*task));
+    }
+  }
+}
+
 // Starts all members of the gang with one run number, or none.
 bool Scheduler::place_gang(Step& step) {
   std::uint32_t number = 0;
@@ -337,18 +376,14 @@
 }
 
 bool Scheduler::is_start_window_full() const {
-  if (m_starts_in_flight < m_start_window.size()) {
-    return false;
-  }
-  std::size_t overdue = 0;
-  for (const auto& worker : m_workers.all()) {
-    overdue += worker->overdue_starts(m_timer.now());
-  }
-  return m_start_window.is_full(m_starts_in_flight, overdue);
+  return m_starts_in_flight >= m_start_window.size() &&
+         m_start_window.is_full(m_starts_in_flight, count_overdue_starts(m_workers, m_timer.now()));
 }
 
 bool Scheduler::is_start_window_reserved() const {
-  return m_starts_in_flight + m_starts_to_store >= m_start_window.size();
+  const std::size_t starts = m_starts_in_flight + m_starts_to_store;
+  return starts >= m_start_window.size() &&
+         m_start_window.is_full(starts, count_overdue_starts(m_workers, m_timer.now()));
 }
 
 void Scheduler::release_start_slot(Worker& worker) {
