--- a/include/arbutusdale/sched/takeover_fence.hpp
+++ b/include/arbutusdale/sched/takeover_fence.hpp
@@ -1,8 +1,7 @@
 // Decides which tasks may start although workers are silent that may still run tasks of an earlier
 // leader. Two kinds of evidence locate a task, so that it waits for its own workers only:
 // - This leader has started it, or has seen a live run of it, which excludes another one. A live
-// run
-//   also shows that no step behind its own has been started.
+//   run also shows that no step behind its own has been started.
 // - The record that the preceding leader has left names every worker on which a run may be alive.
 //   Only records of lasting tasks and of tasks with crashes do, since the later starts of such a
 //   task are sent only after they are stored. A first start is sent at once, so a task without a
