Show reads of the store by topic, the age of each view, and why a leader starts nothing

What callers saw: submissions were refused and tasks did not start, and the log said `not_examined` without a reason. Reads that timed out, what they had asked for and how old a view was could not be seen.

Change: metrics of reads in flight, reads, records, bytes, time-outs and other errors by topic; the age of the view of each shard; one log line when a view becomes older than the limit for starts and one when it is current again. A read without an answer in time is told apart from one that was refused. While the leader may start nothing, `delay` in `task_waiting` names the limit: `leadership_unconfirmed` or `jobs_outdated`.

No decision changes.

--- a/include/arbutusdale/fleet/leader.hpp
+++ b/include/arbutusdale/fleet/leader.hpp
@@ -18,6 +18,9 @@
 
 namespace arbutusdale::fleet {
 
+/// A leader whose reads of submissions and cancellations fail might start tasks of cancelled jobs.
+inline constexpr Duration k_max_job_age_for_starts = std::chrono::milliseconds{3'000};
+
 /// A claim to the leadership; identifies the leader once it has succeeded.
 struct LeadershipClaim {
   std::string daemon;       // incarnation of the daemon
--- a/include/arbutusdale/fleet/node.hpp
+++ b/include/arbutusdale/fleet/node.hpp
@@ -9,6 +9,7 @@
 #include "arbutusdale/fleet/shard_layout_agreement.hpp"
 #include "arbutusdale/fleet/shard_member.hpp"
 #include "arbutusdale/fleet/stronger_daemons.hpp"
+#include "arbutusdale/fleet/view_age_log.hpp"
 #include "arbutusdale/jobs/configuration.hpp"
 #include "arbutusdale/jobs/job_table.hpp"
 #include "arbutusdale/store/partition_follower.hpp"
@@ -28,6 +29,7 @@
   std::uint32_t shards = 0;  // of the fleet; 0 while unknown
   std::size_t shards_led = 0;
   std::optional<TimePoint> jobs_fresh_as_of;
+  std::vector<std::optional<TimePoint>> shards_fresh_as_of;  // views of the records of the leaders
   std::size_t waiting_tasks = 0;
   std::size_t registered_workers = 0;
   std::size_t reachable_workers = 0;
@@ -66,6 +68,7 @@
   void on_jobs_caught_up();
   void adopt_layout(jobs::ShardLayout layout);
   void on_led_changed();
+  void log_view_ages();
   [[nodiscard]] DaemonState daemon_state() const;
   /// Names of the daemons that lead shards, by the newest records.
   [[nodiscard]] std::set<std::string> leading_daemons() const;
@@ -81,6 +84,8 @@
   JobService m_service;
   StrongerDaemons m_stronger;
   LoopLag m_lag;
+  ViewAgeLog m_jobs_age_log{"jobs"};
+  std::vector<ViewAgeLog> m_shard_age_logs;
   std::unique_ptr<ShardLayoutAgreement> m_agreement;    // until the layout is known
   std::vector<std::unique_ptr<ShardMember>> m_members;  // by shard; empty before
   TimePoint m_next_deletion{};
--- a/include/arbutusdale/fleet/shard_member.hpp
+++ b/include/arbutusdale/fleet/shard_member.hpp
@@ -54,6 +54,8 @@
   /// Null unless this daemon leads the shard.
   [[nodiscard]] Leader* leader() { return m_leader.get(); }
   [[nodiscard]] const Leader* leader() const { return m_leader.get(); }
+  /// See PartitionFollower::fresh_as_of().
+  [[nodiscard]] std::optional<TimePoint> fresh_as_of() const { return m_follower.fresh_as_of(); }
   [[nodiscard]] bool has_claim_in_flight() const { return m_claim_in_flight; }
 
  private:
--- a/include/arbutusdale/observe/event_log.hpp
+++ b/include/arbutusdale/observe/event_log.hpp
@@ -24,6 +24,8 @@
   append_resolved,
   record_too_large,
   store_lost_records,
+  view_outdated,
+  view_current,
   roster_full,
   configuration_applied,
   job_moved,
--- a/include/arbutusdale/observe/metrics.hpp
+++ b/include/arbutusdale/observe/metrics.hpp
@@ -26,6 +26,7 @@
 class Gauge {
  public:
   void set(double value) { m_value.store(value, std::memory_order_relaxed); }
+  void add(double amount) { m_value.fetch_add(amount, std::memory_order_relaxed); }
   [[nodiscard]] double value() const { return m_value.load(std::memory_order_relaxed); }
 
  private:
--- a/include/arbutusdale/sched/scheduler.hpp
+++ b/include/arbutusdale/sched/scheduler.hpp
@@ -67,6 +67,8 @@
 struct OrderLimits {
   TimePoint start_until = TimePoint::max();
   TimePoint poll_until = TimePoint::max();  // polls extend leases
+  /// What sets `start_until`, for the log.
+  StartDelay reason = StartDelay::leadership_unconfirmed;
 };
 
 /// What a shard lacks for a job.
--- a/include/arbutusdale/sched/task_table.hpp
+++ b/include/arbutusdale/sched/task_table.hpp
@@ -85,15 +85,17 @@
 
 /// Why the last placement round that got to a waiting task did not start it.
 enum class StartDelay : std::uint8_t {
-  none,             ///< no round has got to it since it began to wait
-  start_window,     ///< too many starts are unanswered
-  earlier_leader,   ///< an earlier leader may have started it
-  batch_interval,   ///< opportunistic tasks are placed less often than others
-  step_unplaced,    ///< no worker was found for another task of its step
-  not_before,       ///< its next start is put off
-  round_limit,      ///< the round has examined as many suspects as it may
-  isolation_limit,  ///< too many workers have a suspect, or are silent under one
-  no_worker,        ///< no worker was found for it
+  none,                    ///< no round has got to it since it began to wait
+  start_window,            ///< too many starts are unanswered
+  earlier_leader,          ///< an earlier leader may have started it
+  batch_interval,          ///< opportunistic tasks are placed less often than others
+  step_unplaced,           ///< no worker was found for another task of its step
+  not_before,              ///< its next start is put off
+  round_limit,             ///< the round has examined as many suspects as it may
+  isolation_limit,         ///< too many workers have a suspect, or are silent under one
+  no_worker,               ///< no worker was found for it
+  leadership_unconfirmed,  ///< the store has not confirmed lately that this daemon leads
+  jobs_outdated,           ///< cancellations of some time ago may not be known yet
 };
 
 struct Step;
--- a/include/arbutusdale/store/metadata_store.hpp
+++ b/include/arbutusdale/store/metadata_store.hpp
@@ -97,7 +97,8 @@
 
 enum class ReadFailure : std::uint8_t {
   trimmed,      ///< the records asked for have expired
-  unavailable,  ///< no reply, or the store refused the read
+  timed_out,    ///< no complete reply in time; the store may still be sending it
+  unavailable,  ///< the store refused the read, or the connection failed
   malformed,    ///< the reply can't be read, and proves nothing about the partition
 };
 
--- a/include/arbutusdale/store/partition_follower.hpp
+++ b/include/arbutusdale/store/partition_follower.hpp
@@ -6,6 +6,7 @@
 
 #include "arbutusdale/core/timer.hpp"
 #include "arbutusdale/store/metadata_store.hpp"
+#include "arbutusdale/store/read_metrics.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -66,6 +67,8 @@
   [[nodiscard]] Duration read_latency() const { return m_read_latency; }
 
  private:
+  /// Sends a read, and records in the metrics what becomes of it.
+  void send_read(std::uint32_t wait_ms, MetadataStore::ReadDone done);
   void scan(std::string after_key, TimePoint started_at);
   void on_page(const ScanPage& page, TimePoint started_at);
   void read();
@@ -83,6 +86,7 @@
   Timer& m_timer;
   FollowerOptions m_options;
   PartitionListener& m_listener;
+  ReadMetrics m_metrics;
   std::shared_ptr<bool> m_alive;  // false after destruction; completions check it
 
   bool m_loaded = false;
--- a/src/arbutusdale/fleet/leader.cpp
+++ b/src/arbutusdale/fleet/leader.cpp
@@ -12,8 +12,6 @@
 // Long enough that progress is retried until it is stored or the leadership is lost.
 constexpr Duration k_progress_timeout = std::chrono::hours{1};
 constexpr Duration k_release_timeout = std::chrono::seconds{1};
-// A leader whose reads of submissions and cancellations fail might start tasks of cancelled jobs.
-constexpr Duration k_max_job_age_for_starts = std::chrono::milliseconds{3'000};
 // On a fleet with several shards the daemons' reads of progress would exceed what the store serves.
 constexpr Duration k_write_interval = std::chrono::milliseconds{240};
 
@@ -114,9 +112,12 @@
       std::max(m_claim.claimed_at, m_log.last_success_sent().value_or(TimePoint{}));
   const TimePoint jobs_known_until =
       jobs_fresh_as_of.value_or(TimePoint{}) + k_max_job_age_for_starts;
-  m_scheduler.set_order_limits(
-      {std::min(last + k_max_confirmation_age_for_starts, jobs_known_until),
-       last + k_max_confirmation_age_for_leases});
+  const TimePoint confirmed_until = last + k_max_confirmation_age_for_starts;
+  const bool are_jobs_older = jobs_known_until < confirmed_until;
+  m_scheduler.set_order_limits({std::min(confirmed_until, jobs_known_until),
+                                last + k_max_confirmation_age_for_leases,
+                                are_jobs_older ? sched::StartDelay::jobs_outdated
+                                               : sched::StartDelay::leadership_unconfirmed});
 }
 
 void Leader::send_heartbeat() {
--- a/src/arbutusdale/fleet/node.cpp
+++ b/src/arbutusdale/fleet/node.cpp
@@ -5,6 +5,7 @@
 #include "arbutusdale/jobs/daemon_presence.hpp"
 
 #include <algorithm>
+#include <string>
 #include <utility>
 
 namespace arbutusdale::fleet {
@@ -75,6 +76,7 @@
   stats.shards_led = shards_led();
   stats.jobs_fresh_as_of = m_job_followers.fresh_as_of();
   for (const auto& member : m_members) {
+    stats.shards_fresh_as_of.push_back(member->fresh_as_of());
     if (member->leader() == nullptr) {
       continue;
     }
@@ -120,6 +122,7 @@
     m_members.push_back(
         std::make_unique<ShardMember>(m_deps, m_jobs, shard, [this] { on_led_changed(); }));
     m_members.back()->start();
+    m_shard_age_logs.emplace_back("shard " + std::to_string(shard));
   }
 }
 
@@ -158,9 +161,18 @@
   return state;
 }
 
+void Node::log_view_ages() {
+  const TimePoint now = m_deps.timer.now();
+  m_jobs_age_log.on_tick(m_job_followers.fresh_as_of(), now, m_lag.lag());
+  for (std::size_t i = 0; i < m_members.size(); ++i) {
+    m_shard_age_logs[i].on_tick(m_members[i]->fresh_as_of(), now, m_lag.lag());
+  }
+}
+
 void Node::tick() {
   m_service.tick();
   m_lag.on_tick(m_deps.timer.now());
+  log_view_ages();
   if (m_agreement) {
     m_agreement->tick();
     if (const auto layout = m_agreement->layout()) {
--- a/src/arbutusdale/observe/event_log.cpp
+++ b/src/arbutusdale/observe/event_log.cpp
@@ -16,7 +16,7 @@
 namespace arbutusdale::observe {
 namespace {
 
-constexpr EnumNames<Event, 48> k_event_names{{
+constexpr EnumNames<Event, 50> k_event_names{{
     {Event::process_started, "process_started"},
     {Event::process_stopping, "process_stopping"},
     {Event::process_stopped, "process_stopped"},
@@ -27,6 +27,8 @@
     {Event::append_resolved, "append_resolved"},
     {Event::record_too_large, "record_too_large"},
     {Event::store_lost_records, "store_lost_records"},
+    {Event::view_outdated, "view_outdated"},
+    {Event::view_current, "view_current"},
     {Event::roster_full, "roster_full"},
     {Event::configuration_applied, "configuration_applied"},
     {Event::job_moved, "job_moved"},
--- a/src/arbutusdale/sched/scheduler_waiting.cpp
+++ b/src/arbutusdale/sched/scheduler_waiting.cpp
@@ -43,7 +43,7 @@
     {Exclusion::ticket, "ticket"},
 }};
 
-constexpr EnumNames<StartDelay, 9> k_delay_names{{
+constexpr EnumNames<StartDelay, 11> k_delay_names{{
     {StartDelay::none, "not_examined"},
     {StartDelay::start_window, "start_window"},
     {StartDelay::earlier_leader, "earlier_leader"},
@@ -53,6 +53,8 @@
     {StartDelay::round_limit, "round_limit"},
     {StartDelay::isolation_limit, "isolation_limit"},
     {StartDelay::no_worker, "no_worker"},
+    {StartDelay::leadership_unconfirmed, "leadership_unconfirmed"},
+    {StartDelay::jobs_outdated, "jobs_outdated"},
 }};
 
 /// Number of workers by the reason that excludes them, such as "capacity:40,withheld:2".
@@ -134,7 +136,7 @@
       .add("lasting", step.spec->long_running() ? 1 : 0)
       .add("last_run", task.last_run)
       .add("opportunistic", step.spec->opportunistic() ? 1 : 0)
-      .add("delay", enum_name(k_delay_names, task.delay))
+      .add("delay", enum_name(k_delay_names, may_start() ? task.delay : m_order_limits.reason))
       .add_ms("examined_ms_ago", now - std::max(task.examined_at, task.ready_at))
       .add("suspect", task.crashes.is_suspect() ? 1 : 0)
       .add("unsettled_crashes", task.crashes.recent_unsettled_crashes())
--- a/src/arbutusdale/store/partition_follower.cpp
+++ b/src/arbutusdale/store/partition_follower.cpp
@@ -20,6 +20,16 @@
 constexpr int k_max_doublings = 4;              // of the delay, to reach its maximum
 constexpr int k_latency_smoothing_divisor = 8;  // a new sample has a weight of 1/8
 
+/// Records in the metrics how a read or a scan of a page has ended.
+template <typename Reply>
+void note_result(const ReadMetrics& metrics, const tl::expected<Reply, ReadError>& reply) {
+  if (reply) {
+    metrics.on_records(reply->records);
+  } else {
+    metrics.on_error(reply.error().reason);
+  }
+}
+
 }  // namespace
 
 PartitionFollower::PartitionFollower(MetadataStore& store, Timer& timer, FollowerOptions options,
@@ -28,6 +38,7 @@
       m_timer(timer),
       m_options(std::move(options)),
       m_listener(listener),
+      m_metrics(m_options.partition.topic),
       m_alive(std::make_shared<bool>(true)) {}
 
 PartitionFollower::~PartitionFollower() {
@@ -57,8 +68,11 @@
 }
 
 void PartitionFollower::scan(std::string after_key, TimePoint started_at) {
+  m_metrics.on_sent();
   m_store.scan(m_options.partition, std::move(after_key),
-               [this, alive = m_alive, started_at](tl::expected<ScanPage, ReadError> page) {
+               [this, alive = m_alive, metrics = m_metrics,
+                started_at](tl::expected<ScanPage, ReadError> page) {
+                 note_result(metrics, page);
                  if (!*alive) {
                    return;
                  }
@@ -107,29 +121,38 @@
   m_listener.on_records_lost();
 }
 
+void PartitionFollower::send_read(std::uint32_t wait_ms, MetadataStore::ReadDone done) {
+  m_metrics.on_sent();
+  m_store.read(
+      {m_options.partition, m_next_offset, wait_ms},
+      [metrics = m_metrics, done = std::move(done)](tl::expected<ReadReply, ReadError> reply) {
+        note_result(metrics, reply);
+        done(std::move(reply));
+      });
+}
+
 void PartitionFollower::read() {
   const TimePoint sent = m_timer.now();
   const std::uint64_t read_through = m_next_offset;
-  m_store.read(
-      {m_options.partition, m_next_offset, m_options.wait_ms},
-      [this, alive = m_alive, sent, read_through](tl::expected<ReadReply, ReadError> reply) {
-        if (!*alive) {
-          return;
-        }
-        if (reply) {
-          note_end(reply->end, read_through);
-          on_read(*reply, sent);
-          return;
-        }
-        const Duration retry_delay = on_error(reply.error());
-        if (reply.error().reason == ReadFailure::trimmed) {
-          spdlog::warn("records of topic {} expired before they were read; scanning again",
-                       m_options.partition.topic);
-          rescan();
-          return;
-        }
-        schedule(retry_delay, &PartitionFollower::read);
-      });
+  send_read(m_options.wait_ms,
+            [this, alive = m_alive, sent, read_through](tl::expected<ReadReply, ReadError> reply) {
+              if (!*alive) {
+                return;
+              }
+              if (reply) {
+                note_end(reply->end, read_through);
+                on_read(*reply, sent);
+                return;
+              }
+              const Duration retry_delay = on_error(reply.error());
+              if (reply.error().reason == ReadFailure::trimmed) {
+                spdlog::warn("records of topic {} expired before they were read; scanning again",
+                             m_options.partition.topic);
+                rescan();
+                return;
+              }
+              schedule(retry_delay, &PartitionFollower::read);
+            });
 }
 
 void PartitionFollower::on_read(const ReadReply& reply, TimePoint sent) {
@@ -182,29 +205,28 @@
     return;
   }
   const TimePoint sent = m_timer.now();
-  m_store.read({m_options.partition, m_next_offset, 0},
-               [this, alive = m_alive, sent](tl::expected<ReadReply, ReadError> reply) {
-                 if (!*alive) {
-                   return;
-                 }
-                 if (!reply) {
-                   m_timer.call_after(on_error(reply.error()), [this, alive] {
-                     if (*alive) {
-                       catch_up();
-                     }
-                   });
-                   return;
-                 }
-                 deliver(reply->records);
-                 m_next_offset = std::max(m_next_offset, reply->next_offset);
-                 if (m_next_offset < reply->end) {
-                   schedule(reply->records.empty() ? k_retry_delay : Duration::zero(),
-                            &PartitionFollower::catch_up);
-                   return;
-                 }
-                 m_fresh_as_of = std::max(*m_fresh_as_of, sent);
-                 m_listener.on_caught_up();
-               });
+  send_read(0, [this, alive = m_alive, sent](tl::expected<ReadReply, ReadError> reply) {
+    if (!*alive) {
+      return;
+    }
+    if (!reply) {
+      m_timer.call_after(on_error(reply.error()), [this, alive] {
+        if (*alive) {
+          catch_up();
+        }
+      });
+      return;
+    }
+    deliver(reply->records);
+    m_next_offset = std::max(m_next_offset, reply->next_offset);
+    if (m_next_offset < reply->end) {
+      schedule(reply->records.empty() ? k_retry_delay : Duration::zero(),
+               &PartitionFollower::catch_up);
+      return;
+    }
+    m_fresh_as_of = std::max(*m_fresh_as_of, sent);
+    m_listener.on_caught_up();
+  });
 }
 
 Duration PartitionFollower::on_error(const ReadError& error) {
