Account for the processor time of opportunistic runs, and log why runs are paced

What callers saw: most tasks of an opportunistic queue ran to their end, and most of its jobs ended late. Metrics and log said neither what became of the processor time nor why a run had been slowed down, and half of the lines on single runs are dropped under load.

Each leader now sums the processor time of opportunistic runs (run time times the processors that the task needs) by what became of it: of jobs in time, late, expired or abandoned, of stopped runs, and how much of it the runs were paused. No decision changes; the limit of usefulness that the queue and the account share is lateness_at().

--- a/include/arbutusdale/observe/event_log.hpp
+++ b/include/arbutusdale/observe/event_log.hpp
@@ -59,6 +59,7 @@
   task_given_up,
   task_waiting,
   pace_changed,
+  opportunistic_work,
   advice_received,
   advice_missing,
   lines_dropped,
--- a/include/arbutusdale/sched/ready_queue.hpp
+++ b/include/arbutusdale/sched/ready_queue.hpp
@@ -22,6 +22,9 @@
 /// Lateness of the step's job if the step starts now, by the job's estimates.
 Lateness lateness_of(const Step& step, TimePoint now);
 
+/// Lateness of the job if it completes at `end`.
+Lateness lateness_at(const Job& job, TimePoint end);
+
 /// What a visitor of waiting tasks wants to see next.
 enum class Visit : std::uint8_t {
   next_task,
--- a/include/arbutusdale/sched/scheduler.hpp
+++ b/include/arbutusdale/sched/scheduler.hpp
@@ -12,6 +12,7 @@
 #include "arbutusdale/sched/crash_rate.hpp"
 #include "arbutusdale/sched/interference.hpp"
 #include "arbutusdale/sched/job_mover.hpp"
+#include "arbutusdale/sched/opportunistic_work.hpp"
 #include "arbutusdale/sched/placement.hpp"
 #include "arbutusdale/sched/placement_round.hpp"
 #include "arbutusdale/sched/ready_queue.hpp"
@@ -299,6 +300,8 @@
   void control_throttling(Worker& worker);
   void send_throttles(Worker& worker);
   void send_throttle(Worker& worker, Task& task, Run& run);
+  /// Logs, at most once an interval, what became of the processor time of opportunistic runs.
+  void log_opportunistic_work();
 
   // Advised queues, scheduler_advice.cpp.
   void request_advice(const std::vector<Step*>& unplaced);
@@ -395,6 +398,8 @@
   TimePoint m_started_at{};
   TimePoint m_evidence_saved_at{};
   TimePoint m_waiting_logged_at{};  // last lines on tasks that wait
+  OpportunisticWork m_opportunistic_work;
+  TimePoint m_work_logged_at{};  // last line on it
   bool m_evidence_due = false;
   bool m_flushing = false;
   /// Median speed of the workers with a recent sample; empty while there are too few.
--- a/include/arbutusdale/sched/task_table.hpp
+++ b/include/arbutusdale/sched/task_table.hpp
@@ -27,6 +27,15 @@
   stopping,  ///< is being stopped, also after an unanswered start; its resources stay committed
 };
 
+/// Why the speed of an opportunistic run was changed last.
+enum class ThrottleReason : std::uint8_t {
+  none,         ///< it has not been changed
+  tail_raised,  ///< a harmful image while a tail is raised or high
+  cause,        ///< a likely cause of a tail over its target
+  all,          ///< a tail stays over its target without the likely causes
+  tail_low,     ///< the tails have been low for a while
+};
+
 /// What may start on the worker of a suspect's run until the run has settled.
 enum class Isolation : std::uint8_t {
   none,     ///< anything: the run is no suspect's, or has settled
@@ -56,8 +65,17 @@
   std::uint32_t throttle_percent = 100;         // of full speed, as ordered last
   std::uint32_t wanted_throttle_percent = 100;  // ordered until the worker accepts it
   TimePoint throttled_at{};
+  ThrottleReason throttle_reason = ThrottleReason::none;  // of the wanted speed
+  TimePoint paused_since{};                               // zero while it is not paused
+  Duration paused{};                                      // in all, before paused_since
+  bool is_done = false;                     // its worker has reported that it has succeeded
   std::uint64_t tail_ms_or_cpu_millis = 0;  // see RunningTask
   TimePoint over_target_since{};            // zero while its tail is below the target
+
+  /// How long it has been paused so far, by the orders sent.
+  [[nodiscard]] Duration paused_for(TimePoint now) const {
+    return paused + (paused_since == TimePoint{} ? Duration::zero() : now - paused_since);
+  }
 };
 
 /// A run that no worker reports any more, and of which it is not known whether its worker crashed.
@@ -189,8 +207,10 @@
   TimePoint next_move_search_at{};
   std::uint32_t next_occurrence = 0;
   std::uint32_t occurrences_done = 0;
-  TimePoint due{};       // when its objective ends
-  Duration objective{};  // longest duration from acceptance to completion
+  TimePoint due{};                    // when its objective ends
+  Duration objective{};               // longest duration from acceptance to completion
+  std::uint64_t done_core_ms = 0;     // used by its opportunistic runs that are done
+  std::uint64_t stopped_core_ms = 0;  // used by those that ended otherwise
   std::vector<std::unique_ptr<Occurrence>> occurrences;
 
   [[nodiscard]] const proto::jobs::JobSpec& spec() const { return submitted->spec(); }
--- a/include/arbutusdale/sched/throttle_control.hpp
+++ b/include/arbutusdale/sched/throttle_control.hpp
@@ -8,6 +8,7 @@
 
 #include "arbutusdale/core/clock.hpp"
 #include "arbutusdale/sched/interference.hpp"
+#include "arbutusdale/sched/task_table.hpp"
 
 #include <cstdint>
 #include <vector>
@@ -35,6 +36,7 @@
 struct ThrottleDecision {
   ThrottleAction action = ThrottleAction::keep;
   std::uint32_t throttle_percent = 100;
+  ThrottleReason reason = ThrottleReason::none;
 };
 
 /// Decides on the speed of the opportunistic runs of one worker, poll by poll.
@@ -47,6 +49,8 @@
 
   /// True when the tail latencies allow more harmless opportunistic work on the worker.
   [[nodiscard]] bool accepts_more(TimePoint now) const;
+  /// Highest ratio of a tail to its target, at the last call of decide().
+  [[nodiscard]] double tail_ratio() const { return m_ratio; }
 
  private:
   void throttle_harmful(std::vector<ThrottleDecision>& decisions,
--- a/src/arbutusdale/observe/event_log.cpp
+++ b/src/arbutusdale/observe/event_log.cpp
@@ -16,7 +16,7 @@
 namespace arbutusdale::observe {
 namespace {
 
-constexpr EnumNames<Event, 48> k_event_names{{
+constexpr EnumNames<Event, 49> k_event_names{{
     {Event::process_started, "process_started"},
     {Event::process_stopping, "process_stopping"},
     {Event::process_stopped, "process_stopped"},
@@ -62,6 +62,7 @@
     {Event::task_given_up, "task_given_up"},
     {Event::task_waiting, "task_waiting"},
     {Event::pace_changed, "pace_changed"},
+    {Event::opportunistic_work, "opportunistic_work"},
     {Event::advice_received, "advice_received"},
     {Event::advice_missing, "advice_missing"},
     {Event::lines_dropped, "lines_dropped"},
--- a/src/arbutusdale/sched/ready_queue.cpp
+++ b/src/arbutusdale/sched/ready_queue.cpp
@@ -19,6 +19,14 @@
 
 }  // namespace
 
+Lateness lateness_at(const Job& job, TimePoint end) {
+  if (end <= job.due) {
+    return Lateness::in_time;
+  }
+  const TimePoint last = job.due + (k_expiry_factor - 1) * job.objective;
+  return end <= last ? Lateness::late : Lateness::expired;
+}
+
 Lateness lateness_of(const Step& step, TimePoint now) {
   const Job& job = *step.job;
   const Duration remaining = std::chrono::milliseconds{step.remaining_ms};
@@ -26,11 +34,10 @@
   const auto margin = is_unstarted(step)
                           ? std::chrono::duration_cast<Duration>(remaining * k_unstarted_margin)
                           : Duration::zero();
-  if (end + margin <= job.due) {
+  if (lateness_at(job, end + margin) == Lateness::in_time) {
     return Lateness::in_time;
   }
-  const TimePoint last = job.due + (k_expiry_factor - 1) * job.objective;
-  return end <= last ? Lateness::late : Lateness::expired;
+  return lateness_at(job, end) == Lateness::expired ? Lateness::expired : Lateness::late;
 }
 
 ReadyQueue::Key ReadyQueue::make_key(const Step& step, TimePoint now, std::uint64_t arrival) {
--- a/src/arbutusdale/sched/scheduler.cpp
+++ b/src/arbutusdale/sched/scheduler.cpp
@@ -182,11 +182,14 @@
   }
   job.ending = true;
   job.state = state;
+  m_opportunistic_work.add_job_end(job, m_timer.now());
   m_has_urgent_progress = true;
   EventLine(Event::job_ended)
       .add("job", job.id.view())
       .add("state", proto::jobs::JobState_Name(state))
       .add_ms("late_ms", m_timer.now() - job.due)
+      .add("done_core_ms", job.done_core_ms)
+      .add("stopped_core_ms", job.stopped_core_ms)
       .write();
   stop_all_runs(job, "the job has ended");
   mark_dirty(job);
@@ -404,6 +407,7 @@
   update_suspect_group_size();
   update_typical_speed();
   log_waiting_tasks();
+  log_opportunistic_work();
   m_place_due = true;
   m_roster_check_due = true;
   process_pending();
--- a/src/arbutusdale/sched/scheduler_runs.cpp
+++ b/src/arbutusdale/sched/scheduler_runs.cpp
@@ -68,6 +68,9 @@
   task->note_checkpoint(end.checkpoint, m_timer.now());
   if (end.outcome == RunOutcome::done) {
     worker.note_success();
+    if (Run* run = task->find_run(end.run)) {
+      run->is_done = true;
+    }
     drop_run(*task, end.run);
     if (task->step->spec->gang()) {
       for (Task& member : task->step->tasks) {
@@ -245,6 +248,7 @@
   if (run->begun_at != TimePoint{} && number >= task.late_start.run) {
     task.late_start = LateStart{};
   }
+  m_opportunistic_work.add_run(*task.step->job, *task.step, *run, m_timer.now());
   m_workers.at(run->worker).remove_run(task, number);
   mark_started(*task.step->job);
   std::erase_if(task.runs, [number](const Run& other) { return other.number == number; });
--- a/src/arbutusdale/sched/scheduler_throttling.cpp
+++ b/src/arbutusdale/sched/scheduler_throttling.cpp
@@ -1,4 +1,5 @@
 // Throttling of opportunistic runs beside serving tasks.
+#include "arbutusdale/core/enum_names.hpp"
 #include "arbutusdale/observe/event_log.hpp"
 #include "arbutusdale/sched/scheduler.hpp"
 
@@ -13,6 +14,22 @@
 
 // Progress up to which a run without checkpoints may be moved.
 constexpr std::uint32_t k_movable_percent = 25;
+constexpr double k_percent = 100;
+constexpr Duration k_work_report_interval = std::chrono::seconds{5};
+
+constexpr EnumNames<ThrottleReason, 5> k_reason_names{{
+    {ThrottleReason::none, "none"},
+    {ThrottleReason::tail_raised, "tail_raised"},
+    {ThrottleReason::cause, "cause"},
+    {ThrottleReason::all, "all"},
+    {ThrottleReason::tail_low, "tail_low"},
+}};
+
+// Keeps the time that the run is paused, at a change of its speed.
+void note_pause(Run& run, TimePoint now) {
+  run.paused = run.paused_for(now);
+  run.paused_since = run.throttle_percent == 0 ? now : TimePoint{};
+}
 
 }  // namespace
 
@@ -55,6 +72,7 @@
         run->throttled_at = now;
       }
       run->wanted_throttle_percent = decisions[i].throttle_percent;
+      run->throttle_reason = decisions[i].reason;
     }
   }
   // Harmful runs need more frequent polls.
@@ -79,6 +97,7 @@
 
 void Scheduler::send_throttle(Worker& worker, Task& task, Run& run) {
   const std::uint32_t before = std::exchange(run.throttle_percent, run.wanted_throttle_percent);
+  note_pause(run, m_timer.now());
   const jobs::TaskId id = task.step->job->task_id(task);
   EventLine(Event::pace_changed)
       .add("job", id.job.view())
@@ -87,6 +106,10 @@
       .add("run", run.number)
       .add("worker", worker.entry.id)
       .add("percent", run.throttle_percent)
+      .add("reason", enum_name(k_reason_names, run.throttle_reason))
+      .add("tail_percent",
+           static_cast<std::uint64_t>(worker.throttle_control.tail_ratio() * k_percent))
+      .add("progress_percent", run.progress_percent)
       .write();
   const ThrottleOrder order{{id, run.number, m_options.fencing_token}, run.throttle_percent};
   m_orders.throttle(worker.endpoint(), order,
@@ -109,4 +132,19 @@
                     });
 }
 
+void Scheduler::log_opportunistic_work() {
+  const TimePoint now = m_timer.now();
+  if (now - m_work_logged_at < k_work_report_interval || m_opportunistic_work.is_empty()) {
+    return;
+  }
+  m_work_logged_at = now;
+  EventLine line(Event::opportunistic_work);
+  line.add("token", m_options.fencing_token).add("done", m_opportunistic_work.done_core_ms());
+  for (std::size_t i = 0; i < k_work_outcomes; ++i) {
+    const auto outcome = static_cast<WorkOutcome>(i);
+    line.add(to_string(outcome), m_opportunistic_work.core_ms(outcome));
+  }
+  line.write();
+}
+
 }  // namespace arbutusdale::sched
--- a/src/arbutusdale/sched/throttle_control.cpp
+++ b/src/arbutusdale/sched/throttle_control.cpp
@@ -51,7 +51,7 @@
   std::vector<double> harms;         // highest belief towards any serving task here
   std::vector<double> cause_scores;  // for the tail with the highest ratio
   for (const BatchRunState& batch : batch_runs) {
-    decisions.push_back({ThrottleAction::keep, batch.throttle_percent});
+    decisions.push_back({ThrottleAction::keep, batch.throttle_percent, ThrottleReason::none});
     double harm = 0;
     for (const ServingSample& sample : serving) {
       harm = std::max(harm, table.harm(batch.image, sample.image, now));
@@ -87,7 +87,7 @@
       throttle_percent = std::min(throttle_percent, k_reduced_speed_percent);
     }
     if (throttle_percent != batch.throttle_percent) {
-      decisions[i] = {ThrottleAction::set_throttle, throttle_percent};
+      decisions[i] = {ThrottleAction::set_throttle, throttle_percent, ThrottleReason::tail_raised};
     } else if (throttle_percent < k_full_speed_percent && batch.can_move &&
                batch.since_throttled >= k_evict_delay) {
       decisions[i].action = ThrottleAction::evict;
@@ -110,7 +110,8 @@
     if (!is_likely_cause || batch_runs[i].throttle_percent == 0) {
       continue;
     }
-    decisions[i] = {ThrottleAction::set_throttle, 0};
+    decisions[i] = {ThrottleAction::set_throttle, 0,
+                    all ? ThrottleReason::all : ThrottleReason::cause};
     m_paused_at = now;
   }
 }
@@ -124,7 +125,7 @@
   }
   for (std::size_t i = 0; i < batch_runs.size(); ++i) {
     if (harms[i] < k_harmful && batch_runs[i].throttle_percent < k_full_speed_percent) {
-      decisions[i] = {ThrottleAction::set_throttle, k_full_speed_percent};
+      decisions[i] = {ThrottleAction::set_throttle, k_full_speed_percent, ThrottleReason::tail_low};
     }
   }
 }
