Store what a new leader knows of its jobs in one record

Cause: 400 ms after a takeover with silent workers the leader wrote the progress of every job that it had taken over, each with the names of all silent workers. The write grew with jobs times workers, and all 147 daemons read it while they read back what they had missed, until the reads of all daemons timed out.

Change: the leader writes one record, Takeover, with the held tasks of all jobs in groups with the same silent workers. It also names the term of each job's progress that the leader has found in use: that progress goes on locating tasks for the next leader, since their starts are stored first, so the job need not be written again. Jobs for which the record has no room are left out, and the next leader waits with them for all silent workers. A progress record that was shortened says so, since a held task may have been started since. Records of earlier builds hold no tasks for this one, and this one's record none for them: both then wait for all silent workers.

Evidence: takeover_fence/a_takeover_with_silent_workers_stores_little_for_each_job fails before (60 jobs, 40 workers).

--- a/include/arbutusdale/jobs/job_table.hpp
+++ b/include/arbutusdale/jobs/job_table.hpp
@@ -27,6 +27,7 @@
 using proto::jobs::JobState;
 using proto::jobs::JobSubmitted;
 using proto::jobs::Leadership;
+using proto::jobs::Takeover;
 using proto::jobs::WorkerRoster;
 
 /// Partitions of submissions and cancellations. A job's records may be in any of them.
@@ -42,6 +43,7 @@
 store::KeyedValue encode(const JobMoved& record);
 store::KeyedValue encode(const WorkerRoster& record);
 store::KeyedValue encode(const InterferenceEvidence& record);
+store::KeyedValue encode(const Takeover& record);
 store::KeyedValue encode_cancellation(const JobId& job);
 /// Tombstones of a job's submission and cancellation.
 std::vector<store::KeyedValue> encode_submission_removal(const JobId& job);
@@ -105,6 +107,10 @@
   [[nodiscard]] const InterferenceEvidence& interference(ShardIndex shard) const {
     return m_shards.at(shard).interference;
   }
+  /// What the last leader that recorded its takeover knew of the jobs.
+  [[nodiscard]] const Takeover& takeover(ShardIndex shard) const {
+    return m_shards.at(shard).takeover;
+  }
   /// Jobs that the shard has handed over to others.
   [[nodiscard]] const std::unordered_set<JobId>& moved_from(ShardIndex shard) const {
     return m_shards.at(shard).moved;
@@ -116,6 +122,7 @@
     std::optional<Leadership> leadership;
     WorkerRoster roster;
     InterferenceEvidence interference;
+    Takeover takeover;
     std::unordered_set<JobId> moved;
   };
 
--- a/include/arbutusdale/sched/scheduler.hpp
+++ b/include/arbutusdale/sched/scheduler.hpp
@@ -19,6 +19,7 @@
 #include "arbutusdale/sched/shard_room.hpp"
 #include "arbutusdale/sched/start_window.hpp"
 #include "arbutusdale/sched/suspect_limits.hpp"
+#include "arbutusdale/sched/takeover_record.hpp"
 #include "arbutusdale/sched/task_table.hpp"
 #include "arbutusdale/sched/ticket_cache.hpp"
 #include "arbutusdale/sched/worker_directory.hpp"
@@ -182,6 +183,10 @@
   void move_runs_off_draining_worker(Worker& worker);
   /// True once no worker of the earlier roster may have runs that this leader does not know.
   [[nodiscard]] bool may_start_taken_over_jobs() const;
+  /// Restores where an earlier leader's runs of the tasks may be alive, as far as that is recorded.
+  void restore_locations_of(Job& job, const jobs::JobEntry& entry);
+  /// True if the record may lack tasks that the preceding leader's takeover record names as held.
+  [[nodiscard]] bool lacks_locations(const jobs::JobEntry& entry) const;
   /// Stores once, a moment after the takeover, for which workers the tasks of the jobs that were
   /// taken over wait, if there are any.
   void hold_tasks_of_silent_workers();
@@ -407,6 +412,8 @@
   bool m_jobs_caught_up = false;
   bool m_has_predecessor = false;
   bool m_has_held_tasks = false;  // hold_tasks_of_silent_workers has done its work
+  bool m_takeover_record_due = false;
+  EarlierTakeover m_earlier_takeover;
   OrderLimits m_order_limits;
   bool m_place_due = false;
   bool m_round_scheduled = false;
--- a/include/arbutusdale/sched/takeover_fence.hpp
+++ b/include/arbutusdale/sched/takeover_fence.hpp
@@ -7,8 +7,9 @@
 //   task are sent only after they are stored. A first start is sent at once, so a task without a
 //   record may run anywhere.
 // A run of any other task can be alive only on workers that have not answered this leader yet.
-// While it waits for them, it is held: its record names these workers, and its further starts are
-// stored first, so that the next leader does not wait for workers that fall silent later.
+// While it waits for them, it is held: a record names these workers (takeover_record.hpp), and its
+// further starts are stored first, so that the next leader does not wait for workers that fall
+// silent later.
 #pragma once
 
 #include "arbutusdale/sched/task_table.hpp"
@@ -41,26 +42,28 @@
 /// Workers that may have runs of an earlier leader that this one does not know.
 [[nodiscard]] std::vector<WorkerSlot> find_silent_workers(const WorkerTable& workers);
 
-/// Holds the tasks that are not located: since every other worker has answered, their runs can only
-/// be alive on the silent ones. Does nothing if the preceding leader's record holds tasks of the
-/// job, which wait for other workers.
+/// No run of the task is alive but on the silent workers of its job.
+void hold(Task& task);
+
+/// Holds the tasks of the job that are not located: since every other worker has answered, their
+/// runs can only be alive on the silent ones. Does nothing if the preceding leader's record holds
+/// tasks of the job, which wait for other workers.
 void hold_tasks(Job& job, const std::vector<WorkerSlot>& silent_workers);
 
+/// True if the job has to be stored for its record to locate the tasks that this leader locates.
+[[nodiscard]] bool is_location_outdated(const Job& job);
+
 /// Chooses the tasks that the next record of the job names as located, and has their later starts
 /// stored first. Returns false when there are none.
 bool claim_locations(Job& job);
 
-/// Adds the workers to the record of the job that its held tasks wait for.
-void save_silent_workers(const Job& job, const WorkerTable& workers,
-                         proto::jobs::JobProgress& progress);
-
-/// Adds the task to the record of its step if it is named as located or held.
+/// Adds the task to the record of its step if it is named as located.
 void save_locations(const Task& task, const WorkerTable& workers, proto::jobs::StepProgress& entry);
 
-/// Restores what the leader of the term before `term` has recorded. A record of an earlier term
-/// proves nothing: the leader in between may have started tasks without storing it.
-void restore_locations(Job& job, const proto::jobs::JobProgress& progress, std::uint32_t term,
-                       WorkerTable& workers);
+/// Restores what a leader has recorded. Only valid for a record of the preceding leader, or one
+/// that it has confirmed (takeover_record.hpp): another one may have started tasks without storing
+/// it.
+void restore_locations(Job& job, const proto::jobs::JobProgress& progress, WorkerTable& workers);
 
 /// Makes the record name no task as located.
 void remove_locations(proto::jobs::JobProgress& progress);
--- a/include/arbutusdale/sched/task_table.hpp
+++ b/include/arbutusdale/sched/task_table.hpp
@@ -127,7 +127,7 @@
   bool is_located = false;
   std::vector<WorkerSlot> earlier_workers;
   bool is_held = false;                 // the same for the job's `silent_workers`
-  bool claims_location = false;         // the next record names it as located
+  bool claims_location = false;         // the newest record of the job names it as located
   bool is_stored_first = false;         // a record does, so no start is sent before it is stored
   TimePoint reserved_until{};           // a worker takes no other starts until then
   std::uint32_t moves = 0;              // slow runs stopped in order to restart elsewhere
@@ -185,6 +185,8 @@
   bool ordered = false;            // this leader has decided to start a task of it
   std::uint32_t moves = 0;         // between shards
   std::uint32_t runs_through = 0;  // no run before the last move has a higher number
+  /// Term of the stored progress that locates tasks, as this leader found it; 0: not usable.
+  std::uint32_t record_term = 0;
   std::vector<WorkerSlot> silent_workers;  // may run its held tasks, until they have answered
   TimePoint next_move_search_at{};
   std::uint32_t next_occurrence = 0;
--- a/src/arbutusdale/jobs/job_table.cpp
+++ b/src/arbutusdale/jobs/job_table.cpp
@@ -21,6 +21,7 @@
 constexpr std::string_view k_leadership_key = "leader";
 constexpr std::string_view k_roster_key = "roster";
 constexpr std::string_view k_interference_key = "interference";
+constexpr std::string_view k_takeover_key = "takeover";
 
 std::string key_of(char kind, std::string_view job) {
   std::string key;
@@ -82,6 +83,10 @@
   return {std::string(k_interference_key), record.SerializeAsString()};
 }
 
+store::KeyedValue encode(const Takeover& record) {
+  return {std::string(k_takeover_key), record.SerializeAsString()};
+}
+
 store::KeyedValue encode_cancellation(const JobId& job) {
   proto::jobs::JobCancelled record;
   record.set_job(job.str());
@@ -174,6 +179,15 @@
     }
     return;
   }
+  if (record.entry.key == k_takeover_key) {
+    Takeover takeover;
+    if (!takeover.ParseFromString(record.entry.value)) {
+      log_undecodable(record);
+      return;
+    }
+    state.takeover = std::move(takeover);
+    return;
+  }
   const auto job = job_id_of(record);
   const char kind = job ? record.entry.key.front() : '\0';
   switch (kind) {
--- a/src/arbutusdale/sched/fake_progress_log_test.hpp
+++ b/src/arbutusdale/sched/fake_progress_log_test.hpp
@@ -22,8 +22,9 @@
   explicit FakeProgressLog(store::FakeTimer& timer) : m_timer(timer) {}
 
   bool down = false;
-  std::uint32_t term = 0;  // of the newest leader
-  jobs::JobTable jobs;     // as every daemon sees it
+  std::uint32_t term = 0;   // of the newest leader
+  std::uint64_t bytes = 0;  // of all values stored
+  jobs::JobTable jobs;      // as every daemon sees it
 
   void follow(jobs::JobListener& listener) {
     m_listener = &listener;
@@ -50,6 +51,7 @@
                            return;
                          }
                          for (const auto& entry : entries) {
+                           bytes += entry.value.size();
                            jobs.apply_leader_record(jobs::k_first_shard, {m_offset++, entry});
                          }
                          done(true);
--- a/src/arbutusdale/sched/scheduler.cpp
+++ b/src/arbutusdale/sched/scheduler.cpp
@@ -57,6 +57,7 @@
     worker.in_roster = true;
     schedule_poll(worker, Duration::zero());
   }
+  m_earlier_takeover = EarlierTakeover(jobs.takeover(shard), m_options.term, m_workers);
   for (const auto& [id, entry] : jobs.entries()) {
     if (entry.shard != shard) {
       continue;
@@ -89,9 +90,7 @@
   job->taken_over = taken_over;
   job->moves = entry.moves;
   job->runs_through = entry.runs_through;
-  if (entry.progress && entry.progress->moves() == entry.moves) {
-    restore_locations(*job, *entry.progress, m_options.term, m_workers);
-  }
+  restore_locations_of(*job, entry);
   take_over_recorded_runs(*job);
   if (!entry.progress && !entry.cancelled && move_on_arrival(*job)) {
     return;
@@ -104,12 +103,34 @@
       .add_ms("due_in_ms", job->due - m_timer.now())
       .write();
   open_due_occurrences(*job);
+  if (!lacks_locations(entry)) {
+    m_earlier_takeover.restore_held_tasks(*job);
+  }
   const bool all_done = job->occurrences_done == job->occurrence_count();
   if (all_done) {
     finish_job(*job, JobState::COMPLETED);
   }
 }
 
+void Scheduler::restore_locations_of(Job& job, const jobs::JobEntry& entry) {
+  if (!entry.progress || entry.progress->moves() != entry.moves || entry.progress->term() == 0) {
+    return;
+  }
+  const std::uint32_t record_term = entry.progress->term();
+  const bool is_valid =
+      record_term + 1 == m_options.term || m_earlier_takeover.confirms_progress(job, record_term);
+  if (is_valid) {
+    job.record_term = record_term;
+    restore_locations(job, *entry.progress, m_workers);
+  }
+}
+
+// A task that the preceding leader held may have been started since, and the record of that start
+// may have been shortened.
+bool Scheduler::lacks_locations(const jobs::JobEntry& entry) const {
+  return entry.progress && entry.progress->locations_removed();
+}
+
 void Scheduler::open_due_occurrences(Job& job) {
   enqueue_tasks(m_tasks.open_occurrences(job, m_timer.wall_ms()));
 }
@@ -267,8 +288,11 @@
       continue;
     }
     hold_tasks(*job, silent);
-    mark_dirty(*job);
+    if (is_location_outdated(*job)) {
+      mark_dirty(*job);
+    }
   }
+  m_takeover_record_due = true;
 }
 
 bool Scheduler::can_be_taken_over_at_once() const {
--- a/src/arbutusdale/sched/scheduler_storage.cpp
+++ b/src/arbutusdale/sched/scheduler_storage.cpp
@@ -3,6 +3,7 @@
 #include "arbutusdale/sched/progress_size.hpp"
 #include "arbutusdale/sched/scheduler.hpp"
 #include "arbutusdale/sched/takeover_fence.hpp"
+#include "arbutusdale/sched/takeover_record.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -66,7 +67,7 @@
     m_evidence_due = false;
     entries.push_back(jobs::encode(m_interference.save(m_timer.now(), max_value_bytes())));
   }
-  if (m_dirty.empty() && entries.empty()) {
+  if (m_dirty.empty() && entries.empty() && !m_takeover_record_due) {
     on_flushed(true, {}, processed);
     return;
   }
@@ -79,6 +80,12 @@
     entries.push_back(jobs::encode(storable_progress(*job)));
     written.push_back(id);
   }
+  // After the records of jobs, since it says which of them are up to date.
+  const bool writes_takeover = std::exchange(m_takeover_record_due, false);
+  if (writes_takeover) {
+    entries.push_back(
+        jobs::encode(make_takeover_record(m_tasks, m_workers, m_options.term, max_value_bytes())));
+  }
   if (entries.empty() && m_pending_starts.empty()) {
     // The jobs have been removed meanwhile.
     on_flushed(true, written, processed);
@@ -88,12 +95,13 @@
   m_written_at = m_timer.now();
   m_has_urgent_progress = false;
   m_log.write(std::move(entries), [this, alive = m_alive, written = std::move(written), processed,
-                                   starts = std::exchange(m_pending_starts, {}),
+                                   writes_takeover, starts = std::exchange(m_pending_starts, {}),
                                    roster_additions = std::move(roster_additions)](bool stored) {
     if (!*alive) {
       return;
     }
     m_flushing = false;
+    m_takeover_record_due = m_takeover_record_due || (writes_takeover && !stored);
     if (stored) {
       send_recorded_starts(starts);
     } else {
@@ -115,7 +123,6 @@
   jobs::JobProgress progress = job.progress(m_workers, m_timer.wall_ms());
   if (names_located_tasks) {
     progress.set_term(m_options.term);
-    save_silent_workers(job, m_workers, progress);
   }
   if (trim_progress(progress, job.terms().max_attempts(), max_value_bytes())) {
     return progress;
--- a/src/arbutusdale/sched/takeover_fence.cpp
+++ b/src/arbutusdale/sched/takeover_fence.cpp
@@ -1,7 +1,7 @@
-// Evidence of the workers on which runs of a task may be alive, and its stored form.
+// Evidence of the workers on which runs of a task may be alive, and how a job's progress records
+// it.
 #include "arbutusdale/sched/takeover_fence.hpp"
 
-#include "arbutusdale/sched/task_bits.hpp"
 #include "arbutusdale/sched/worker_table.hpp"
 
 #include <algorithm>
@@ -46,17 +46,11 @@
   return !step.spec->speculative() && !step.spec->gang();
 }
 
+// The record of the takeover names held tasks.
 bool may_be_claimed(const Task& task) {
   const bool is_of_kind = task.step->spec->long_running() || !task.crashes.runs().empty();
-  return task.is_located && task.phase != TaskPhase::done && (is_of_kind || task.is_stored_first) &&
-         may_be_stored_first(*task.step);
-}
-
-void hold(Task& task) {
-  task.is_located = true;
-  task.is_held = true;
-  task.is_stored_first = true;
-  task.step->has_held_tasks = true;
+  return task.is_located && !task.is_held && task.phase != TaskPhase::done &&
+         (is_of_kind || task.is_stored_first) && may_be_stored_first(*task.step);
 }
 
 bool has_held_tasks(const Job& job) {
@@ -73,13 +67,8 @@
   task.earlier_workers.clear();
 }
 
-void restore_held_tasks(Job& job, const StepProgress& entry) {
-  for (std::uint32_t index = 0; index < entry.held().size() * k_tasks_per_byte; ++index) {
-    Task* task = job.find_task({job.id, entry.occurrence(), entry.step(), index});
-    if (task != nullptr && has_bit(entry.held(), index)) {
-      hold(*task);
-    }
-  }
+bool is_recorded_otherwise(const Task& task) {
+  return task.phase != TaskPhase::done && task.claims_location != may_be_claimed(task);
 }
 
 void add_location(const Task& task, const Worker& worker, StepProgress& entry) {
@@ -97,6 +86,13 @@
   task.step->has_located_tasks = true;
 }
 
+void hold(Task& task) {
+  task.is_located = true;
+  task.is_held = true;
+  task.is_stored_first = true;
+  task.step->has_held_tasks = true;
+}
+
 void note_live_run(Task& task, std::uint32_t number) {
   const StepSpec& spec = *task.step->spec;
   if (spec.speculative()) {
@@ -162,6 +158,15 @@
                      [&workers](WorkerSlot slot) { return awaits_first_answer(workers.at(slot)); });
 }
 
+bool is_location_outdated(const Job& job) {
+  return std::any_of(job.occurrences.begin(), job.occurrences.end(), [](const auto& occurrence) {
+    const auto& steps = occurrence->steps;
+    return std::any_of(steps.begin(), steps.end(), [](const Step& step) {
+      return std::any_of(step.tasks.begin(), step.tasks.end(), is_recorded_otherwise);
+    });
+  });
+}
+
 bool claim_locations(Job& job) {
   bool any = false;
   for (const auto& occurrence : job.occurrences) {
@@ -176,22 +181,10 @@
   return any;
 }
 
-void save_silent_workers(const Job& job, const WorkerTable& workers, JobProgress& progress) {
-  for (const WorkerSlot slot : job.silent_workers) {
-    if (awaits_first_answer(workers.at(slot))) {
-      progress.add_silent_workers(workers.at(slot).entry.id);
-    }
-  }
-}
-
 void save_locations(const Task& task, const WorkerTable& workers, StepProgress& entry) {
   if (!task.claims_location) {
     return;
   }
-  if (task.is_held) {
-    set_bit(*entry.mutable_held(), task.index);
-    return;
-  }
   entry.add_located(task.index);
   for (const Run& run : task.runs) {
     const bool never_sent = run.phase == RunPhase::stopping && !run.sent && !run.listed;
@@ -210,22 +203,13 @@
   }
 }
 
-void restore_locations(Job& job, const JobProgress& progress, std::uint32_t term,
-                       WorkerTable& workers) {
-  if (progress.term() == 0 || progress.term() + 1 != term) {
-    return;
-  }
-  for (const std::string& id : progress.silent_workers()) {
-    if (const Worker* worker = workers.find(id)) {
-      job.silent_workers.push_back(worker->slot);
-    }
-  }
+void restore_locations(Job& job, const JobProgress& progress, WorkerTable& workers) {
   for (const StepProgress& entry : progress.steps()) {
-    restore_held_tasks(job, entry);
     for (const std::uint32_t index : entry.located()) {
       Task* task = job.find_task({job.id, entry.occurrence(), entry.step(), index});
       if (task != nullptr) {
         locate(*task);
+        task->claims_location = true;
         task->is_stored_first = true;  // as long as this record is the newest one
       }
     }
@@ -244,9 +228,8 @@
   for (StepProgress& step : *progress.mutable_steps()) {
     step.clear_located();
     step.clear_locations();
-    step.clear_held();
   }
-  progress.clear_silent_workers();
+  progress.set_locations_removed(true);
 }
 
 }  // namespace arbutusdale::sched
--- a/src/arbutusdale/sched/takeover_fence_test.cpp
+++ b/src/arbutusdale/sched/takeover_fence_test.cpp
@@ -330,3 +330,53 @@
   f.timer.advance(12s);
   f.expect_nothing_doubled();
 }
+
+// Guards against a lasting task that waits for a worker which fell silent under the third leader,
+// since the second one, which left the task alone, has not stored its job again.
+Test(takeover_fence, a_record_that_the_preceding_leader_left_as_it_was_still_locates_its_tasks) {
+  FenceFixture f;
+  const std::string serving = f.workers_with_runs().front();
+  std::vector<std::string> idle;
+  for (const auto& [id, worker] : f.fleet.all()) {
+    if (id != serving) {
+      idle.push_back(id);
+    }
+  }
+  f.fleet.at(idle[0]).partitioned = true;
+  f.change_leader();
+  f.timer.advance(2s);
+  f.leaders.back()->kill();
+  f.fleet.at(idle[0]).partitioned = false;
+  f.fleet.at(idle[1]).partitioned = true;
+  f.fleet.crash_and_return(serving);
+  f.lead();
+  f.timer.advance(f.fleet.return_delay + k_at_once);
+  cr_expect_eq(f.running_tasks(k_job), 1U);
+  f.timer.advance(10s);
+  f.expect_nothing_doubled();
+}
+
+// Guards against a takeover that every daemon has to read for seconds, while it reads back what it
+// missed: the progress of each job, each with the names of all silent workers.
+Test(takeover_fence, a_takeover_with_silent_workers_stores_little_for_each_job) {
+  constexpr int workers = 40;
+  constexpr std::uint32_t jobs = 60;
+  constexpr std::uint64_t max_bytes_per_worker = 64;
+  constexpr std::uint64_t max_bytes_per_job = 64;
+  CrashFixture f(workers, 2'000);
+  f.fleet.work_of = [](const jobs::TaskId&) { return 60s; };
+  f.lead();
+  f.timer.advance(1s);
+  for (std::uint32_t number = 1; number <= jobs; ++number) {
+    f.submit(number, 20);
+  }
+  f.leaders.back()->kill();
+  int silent = 0;
+  for (const auto& [id, worker] : f.fleet.all()) {
+    worker->partitioned = ++silent <= workers / 2;
+  }
+  f.lead();
+  const std::uint64_t before = f.log.bytes;
+  f.timer.advance(2s);
+  cr_expect_leq(f.log.bytes - before, workers * max_bytes_per_worker + jobs * max_bytes_per_job);
+}
--- a/src/arbutusdale/sched/task_table.cpp
+++ b/src/arbutusdale/sched/task_table.cpp
@@ -118,7 +118,7 @@
       }
       const bool is_empty = entry.done().empty() && entry.failed().empty() &&
                             entry.unsettled().empty() && entry.crashed().empty() &&
-                            entry.located().empty() && entry.held().empty();
+                            entry.located().empty();
       if (is_empty) {
         continue;
       }
