Admit a lasting job to a shard by places for its tasks

Cause: a job was kept by a shard, or handed to another one, by the sum of the free processors. A task needs its processors on one worker, and a step with anti-affinity needs that many workers.

Change: a leader counts places on its workers beside what lasts there and what waits, and a job with lasting tasks that has started nothing moves if there are too few. Heartbeats state how many workers have how many processors free, so that it goes only to a shard with places. Claims and earlier builds state nothing, which counts as enough.

Evidence: full_shards/a_lasting_job_moves_to_a_shard_with_places_for_its_tasks and full_shards/a_lasting_job_moves_past_a_shard_without_places fail before: the tasks never run. A job that has started still stays.

--- a/include/arbutusdale/fleet/shard_rooms.hpp
+++ b/include/arbutusdale/fleet/shard_rooms.hpp
@@ -22,7 +22,8 @@
 
   [[nodiscard]] bool has_other_shards() const override { return m_shards.size() > 1; }
   std::optional<jobs::ShardIndex> find_target(const sched::JobNeed& need,
-                                              const sched::ShardRoom& own, TimePoint now) override;
+                                              const sched::ShardRoom& own, bool own_has_places,
+                                              TimePoint now) override;
 
   /// Registrations of the workers of all shards.
   void on_worker_updated(const sched::WorkerEntry& entry) override;
@@ -48,6 +49,8 @@
   /// What would be left of the scarcest kind of worker that the job needs at once. The leaders
   /// state one figure for all their workers, which bounds that of each kind.
   [[nodiscard]] std::int64_t room_left(jobs::ShardIndex shard, const sched::JobNeed& need);
+  /// True unless the leader states that its workers lack places for tasks of the job that last.
+  [[nodiscard]] bool may_have_places(jobs::ShardIndex shard, const sched::JobNeed& need) const;
 
   const jobs::JobTable& m_jobs;
   const jobs::ShardIndex m_shard;
--- a/include/arbutusdale/sched/job_mover.hpp
+++ b/include/arbutusdale/sched/job_mover.hpp
@@ -22,11 +22,11 @@
 
   /// False on a fleet with one shard.
   [[nodiscard]] virtual bool has_other_shards() const = 0;
-  /// A shard whose workers can run the job. If those of `own` can, too, it must have more room than
-  /// `own` even with the job. Empty when there is none. The room counts as used by the job from
-  /// then on.
+  /// A shard whose workers can run the job. If those of `own` can, too, it must have places for the
+  /// job's lasting tasks and, if `own` also has them, more room than `own` even with the job. Empty
+  /// when there is none. The room counts as used by the job from then on.
   virtual std::optional<jobs::ShardIndex> find_target(const JobNeed& need, const ShardRoom& own,
-                                                      TimePoint now) = 0;
+                                                      bool own_has_places, TimePoint now) = 0;
 };
 
 }  // namespace arbutusdale::sched
--- a/include/arbutusdale/sched/scheduler.hpp
+++ b/include/arbutusdale/sched/scheduler.hpp
@@ -20,6 +20,7 @@
 #include "arbutusdale/sched/start_window.hpp"
 #include "arbutusdale/sched/suspect_limits.hpp"
 #include "arbutusdale/sched/takeover_record.hpp"
+#include "arbutusdale/sched/task_places.hpp"
 #include "arbutusdale/sched/task_table.hpp"
 #include "arbutusdale/sched/ticket_cache.hpp"
 #include "arbutusdale/sched/worker_directory.hpp"
@@ -114,6 +115,9 @@
   [[nodiscard]] std::size_t waiting_tasks() const { return m_ready.size(); }
   /// Room of the workers that are registered and ready, less what waiting tasks need.
   [[nodiscard]] ShardRoom room() const;
+  /// Places for lasting tasks on these workers, once the other tasks have ended, less those that
+  /// waiting lasting tasks of other jobs than `except` will take.
+  [[nodiscard]] TaskPlaces task_places(const Job* except = nullptr) const;
   /// Number of times that placement has examined a worker, as a measure of its cost.
   [[nodiscard]] std::uint64_t workers_examined() const { return m_workers_examined; }
   [[nodiscard]] const WorkerTable& workers() const { return m_workers; }
@@ -220,7 +224,8 @@
 
   // Moves of jobs to other shards, scheduler_moves.cpp.
   /// What this shard, which has `room`, lacks for a job.
-  [[nodiscard]] Shortage shortage_for(const JobNeed& need, const ShardRoom& room) const;
+  [[nodiscard]] Shortage shortage_for(const JobNeed& need, const ShardRoom& room,
+                                      bool has_places) const;
   [[nodiscard]] bool may_move_jobs() const;
   [[nodiscard]] bool may_move(const Job& job) const;
   /// True when no task of the job has a run, and all that is known of earlier ones is stored.
--- a/src/arbutusdale/fleet/full_shards_test.cpp
+++ b/src/arbutusdale/fleet/full_shards_test.cpp
@@ -41,6 +41,19 @@
     submit(job);
     timer.advance(50ms);
   }
+  /// Tasks of a processor each, which leave two free on each of the shard's workers.
+  void fill_shard(jobs::ShardIndex shard) {
+    std::uint32_t workers = 0;
+    for (const auto& [id, worker] : fleet.all()) {
+      workers += jobs::ShardLayout{k_shards}.shard_of_worker(id) == shard ? 1 : 0;
+    }
+    sched::JobBuilder job(jobs_of(shard, 1).front());
+    auto& step = job.step(workers * 3, 2'000);
+    step.set_long_running(true);
+    step.set_max_per_worker(3);
+    submit(job);
+    timer.advance(1s);
+  }
   /// Keeps more short tasks waiting than the fleet can run at once.
   void run_short_jobs(Duration duration) {
     constexpr Duration k_interval = 400ms;
@@ -73,3 +86,37 @@
                  leadership->free_cpu_millis());
   }
 }
+
+// Guards against a lasting task that never starts, since its shard has enough free processors in
+// all but not on one worker, while the workers of the other shards are idle.
+Test(full_shards, a_lasting_job_moves_to_a_shard_with_places_for_its_tasks) {
+  FullShards cluster;
+  cluster.fill_shard(0);
+  const std::size_t before = cluster.fleet.running();
+  sched::JobBuilder job(jobs_of(0, 2).back());
+  job.step(2, 4'000).set_long_running(true);
+  cluster.submit(job);
+  cluster.timer.advance(3s);
+  cr_expect_eq(cluster.fleet.running(), before + 2U);
+  cr_expect_eq(cluster.fleet.doubled, 0U);
+}
+
+// Guards against the same where the step allows one task on each worker, and a job is handed to a
+// shard that has the processors on too few workers.
+Test(full_shards, a_lasting_job_moves_past_a_shard_without_places) {
+  FullShards cluster;
+  for (jobs::ShardIndex shard = 0; shard + 1 < k_shards; ++shard) {
+    cluster.fill_shard(shard);
+  }
+  const std::size_t before = cluster.fleet.running();
+  sched::JobBuilder job(jobs_of(0, 2).back());
+  auto& step = job.step(3, 4'000);
+  step.set_long_running(true);
+  step.set_max_per_worker(1);
+  cluster.submit(job);
+  cluster.timer.advance(3s);
+  cr_expect_eq(cluster.fleet.running(), before + 3U);
+  const jobs::JobEntry* entry =
+      cluster.daemons[0]->node->jobs().find(*jobs::JobId::parse(job.record.job()));
+  cr_expect_eq(entry->moves, 1U);
+}
--- a/src/arbutusdale/fleet/shard_rooms.cpp
+++ b/src/arbutusdale/fleet/shard_rooms.cpp
@@ -1,6 +1,8 @@
 // Compares the registered workers and the stated rooms, less what was moved since.
 #include "arbutusdale/fleet/shard_rooms.hpp"
 
+#include "arbutusdale/sched/task_places.hpp"
+
 #include <algorithm>
 #include <limits>
 #include <utility>
@@ -77,9 +79,18 @@
   return least;
 }
 
+bool ShardRooms::may_have_places(jobs::ShardIndex shard, const sched::JobNeed& need) const {
+  const auto& leadership = m_jobs.leadership(shard);
+  if (!need.lasts || !leadership->has_free_workers()) {
+    return true;
+  }
+  const auto& counts = leadership->free_workers().counts();
+  return sched::has_places_for({counts.begin(), counts.end()}, need);
+}
+
 std::optional<jobs::ShardIndex> ShardRooms::find_target(const sched::JobNeed& need,
                                                         const sched::ShardRoom& own,
-                                                        TimePoint now) {
+                                                        bool own_has_places, TimePoint now) {
   std::erase_if(m_recent, [now](const RecentMove& move) { return now - move.at > k_recent_time; });
   std::optional<jobs::ShardIndex> best;
   std::int64_t best_left = 0;
@@ -91,7 +102,9 @@
       continue;
     }
     const std::int64_t left = room_left(shard, need);
-    const bool is_suitable = !own_can_host || (left >= 0 && !is_better_here(need, own, left));
+    const bool is_better = !own_has_places || !is_better_here(need, own, left);
+    const bool is_suitable =
+        !own_can_host || (left >= 0 && is_better && may_have_places(shard, need));
     if (is_suitable && (!best || left > best_left)) {
       best = shard;
       best_left = left;
--- a/src/arbutusdale/sched/scheduler_moves.cpp
+++ b/src/arbutusdale/sched/scheduler_moves.cpp
@@ -96,8 +96,29 @@
   return room;
 }
 
+TaskPlaces Scheduler::task_places(const Job* except) const {
+  TaskPlaces places;
+  const TimePoint now = m_timer.now();
+  for (const auto& worker : m_workers.all()) {
+    if (may_run_tasks(*worker, now)) {
+      const std::uint64_t capacity = worker->entry.capacity.cpu_millis;
+      places.add_worker(worker->entry, capacity - std::min(capacity, worker->serving_cpu_millis));
+    }
+  }
+  m_ready.for_each_step([&places, except](const Step& step, std::size_t waiting) {
+    if (step.job == except || !step.spec->long_running() || step.spec->opportunistic()) {
+      return;
+    }
+    const auto tasks = static_cast<std::uint32_t>(waiting);
+    const StepNeed need{step.spec->required_label(), step.need, tasks, step.spec->max_per_worker()};
+    places.take(step.job->terms().service(), need, tasks);
+  });
+  return places;
+}
+
 // Before the first worker is known, nothing can be said of the room.
-Shortage Scheduler::shortage_for(const JobNeed& need, const ShardRoom& room) const {
+Shortage Scheduler::shortage_for(const JobNeed& need, const ShardRoom& room,
+                                 bool has_places) const {
   if (room.is_empty()) {
     return Shortage::none;
   }
@@ -116,7 +137,7 @@
       return Shortage::of_room;
     }
   }
-  return Shortage::none;
+  return has_places ? Shortage::none : Shortage::of_room;
 }
 
 bool Scheduler::may_move_jobs() const {
@@ -154,14 +175,15 @@
   const TimePoint now = m_timer.now();
   job.next_move_search_at = now + k_min_wait;
   const JobNeed need = remaining_need(job);
-  const Shortage shortage = shortage_for(need, own);
+  const bool has_places = !need.lasts || task_places(&job).has_places_for(need);
+  const Shortage shortage = shortage_for(need, own, has_places);
   const bool is_due = shortage == Shortage::of_workers
                           ? job.moves == 0 || waited >= min_wait(job.moves)
                           : job.moves < k_max_moves_for_room && !job.has_started();
   if (shortage == Shortage::none || !is_due) {
     return std::nullopt;
   }
-  const auto target = m_mover->find_target(need, own, now);
+  const auto target = m_mover->find_target(need, own, has_places, now);
   if (!target) {
     return std::nullopt;
   }
@@ -172,6 +194,7 @@
       .add("shortage", enum_name(k_shortage_names, shortage))
       .add("need_cpu_millis", need.cpu_millis())
       .add("free_cpu_millis", own.total_free_millis())
+      .add("has_places", has_places ? 1 : 0)
       .write();
   return target;
 }
