--- a/include/arbutusdale/sched/scheduler.hpp
+++ b/include/arbutusdale/sched/scheduler.hpp
@@ -20,6 +20,8 @@
 #include "arbutusdale/sched/shard_room.hpp"
 #include "arbutusdale/sched/start_window.hpp"
 #include "arbutusdale/sched/suspect_limits.hpp"
+#include "arbutusdale/sched/takeover_record.hpp"
+#include "arbutusdale/sched/task_places.hpp"
 #include "arbutusdale/sched/task_table.hpp"
 #include "arbutusdale/sched/ticket_cache.hpp"
 #include "arbutusdale/sched/worker_directory.hpp"
@@ -116,6 +118,9 @@
   [[nodiscard]] std::size_t waiting_tasks() const { return m_ready.size(); }
   /// Room of the workers that are registered and ready, less what waiting tasks need.
   [[nodiscard]] ShardRoom room() const;
+  /// Places for lasting tasks on these workers, once the other tasks have ended, less those that
+  /// waiting lasting tasks of other jobs than `except` will take.
+  [[nodiscard]] TaskPlaces task_places(const Job* except = nullptr) const;
   /// Number of times that placement has examined a worker, as a measure of its cost.
   [[nodiscard]] std::uint64_t workers_examined() const { return m_workers_examined; }
   [[nodiscard]] const WorkerTable& workers() const { return m_workers; }
@@ -185,6 +190,10 @@
   void move_runs_off_draining_worker(Worker& worker);
   /// True once no worker of the earlier roster may have runs that this leader does not know.
   [[nodiscard]] bool may_start_taken_over_jobs() const;
+  /// Restores where an earlier leader's runs of the tasks may be alive, as far as that is recorded.
+  void restore_locations_of(Job& job, const jobs::JobEntry& entry);
+  /// True if the record may lack tasks that the preceding leader's takeover record names as held.
+  [[nodiscard]] bool lacks_locations(const jobs::JobEntry& entry) const;
   /// Stores once, a moment after the takeover, for which workers the tasks of the jobs that were
   /// taken over wait, if there are any.
   void hold_tasks_of_silent_workers();
@@ -218,7 +227,8 @@
 
   // Moves of jobs to other shards, scheduler_moves.cpp.
   /// What this shard, which has `room`, lacks for a job.
-  [[nodiscard]] Shortage shortage_for(const JobNeed& need, const ShardRoom& room) const;
+  [[nodiscard]] Shortage shortage_for(const JobNeed& need, const ShardRoom& room,
+                                      bool has_places) const;
   [[nodiscard]] bool may_move_jobs() const;
   [[nodiscard]] bool may_move(const Job& job) const;
   /// True when no task of the job has a run, and all that is known of earlier ones is stored.
@@ -414,6 +424,8 @@
   bool m_jobs_caught_up = false;
   bool m_has_predecessor = false;
   bool m_has_held_tasks = false;  // hold_tasks_of_silent_workers has done its work
+  bool m_takeover_record_due = false;
+  EarlierTakeover m_earlier_takeover;
   OrderLimits m_order_limits;
   bool m_place_due = false;
   bool m_round_scheduled = false;
