Log how long a lasting task has had no run over a series of leaders

The wait in `task_waiting` counted from the takeover, so a lasting task that waited under several leaders looked as if it had waited for a moment, and one that waited under 2 s with each of them had no line at all.

The record of a job now holds since when at least one of its lasting tasks has had no run. It is one number a job in records that are written anyway, and causes no write of its own. The next leader takes it over. A job that is still queued in its record has waited since it was accepted, which the record of its submission says. `task_waiting` has the wait as `without_run_ms`, and is written once this is over 2 s and 500 ms have passed since the takeover, so that tasks that run are not named before their workers have answered. `waited_ms` is as before, and no decision uses the new value.

The value is one for the job: a task may have waited for less than another one of its job. A leader that takes over while a task has lost its run unrecorded counts from its first record of the job. One line a second names the longest wait, as before.

--- a/include/arbutusdale/sched/scheduler.hpp
+++ b/include/arbutusdale/sched/scheduler.hpp
@@ -198,6 +198,8 @@
   void mark_started(Job& job);
   void flush();
   [[nodiscard]] bool may_write_progress() const;
+  /// Remembers since when the job has had lasting tasks without a run, if it has and did not know.
+  void note_incomplete(Job& job) const;
   /// The job's progress, within what the store takes. A job whose progress never is fails.
   jobs::JobProgress storable_progress(Job& job);
   [[nodiscard]] std::vector<ProcessedEnds> unstored_ends();
@@ -252,6 +254,9 @@
   void reserve_room();
 
   // Log lines on tasks that wait, scheduler_waiting.cpp.
+  /// How long the waiting task has had no run. For a lasting one over all leaders, as far as it is
+  /// known; it may be less, if other tasks of its job have waited longer.
+  [[nodiscard]] Duration time_without_run(const Task& task) const;
   [[nodiscard]] const Task* find_longest_waiting_task(WaitingKind kind) const;
   [[nodiscard]] std::size_t count_waiting_suspects() const;
   void log_waiting_tasks();
--- a/include/arbutusdale/sched/task_table.hpp
+++ b/include/arbutusdale/sched/task_table.hpp
@@ -189,6 +189,9 @@
   TimePoint next_move_search_at{};
   std::uint32_t next_occurrence = 0;
   std::uint32_t occurrences_done = 0;
+  /// Since when at least one lasting task has had no run, over all leaders; 0: not known. For log
+  /// lines only, since the clocks of machines differ.
+  std::uint64_t incomplete_since_ms = 0;
   TimePoint due{};       // when its objective ends
   Duration objective{};  // longest duration from acceptance to completion
   std::vector<std::unique_ptr<Occurrence>> occurrences;
@@ -199,6 +202,7 @@
   [[nodiscard]] bool has_runs() const;
   /// True when a task may have been started, by this leader or an earlier one.
   [[nodiscard]] bool has_started() const;
+  [[nodiscard]] bool has_waiting_lasting_tasks() const;
   [[nodiscard]] jobs::TaskId task_id(const Task& task) const;
   [[nodiscard]] Task* find_task(const jobs::TaskId& id);
   /// Record of the job's progress, or of its end at `wall_ms`. Its runs are on `workers`.
--- a/src/arbutusdale/sched/scheduler.cpp
+++ b/src/arbutusdale/sched/scheduler.cpp
@@ -149,6 +149,9 @@
     task.phase = TaskPhase::blocked;
     return;
   }
+  if (task.step->spec->long_running() && !job.has_waiting_lasting_tasks()) {
+    job.incomplete_since_ms = m_timer.wall_ms();
+  }
   task.phase = TaskPhase::waiting;
   task.ready_at = m_timer.now();
   task.delay = StartDelay::none;
--- a/src/arbutusdale/sched/scheduler_storage.cpp
+++ b/src/arbutusdale/sched/scheduler_storage.cpp
@@ -110,7 +110,15 @@
 
 // Submissions are checked, so a record stays too large only if its job was accepted with another
 // limit. The ends of its runs could never be confirmed to their workers, so the job fails.
+void Scheduler::note_incomplete(Job& job) const {
+  if (job.incomplete_since_ms != 0 || !job.has_waiting_lasting_tasks()) {
+    return;
+  }
+  job.incomplete_since_ms = m_timer.wall_ms();
+}
+
 jobs::JobProgress Scheduler::storable_progress(Job& job) {
+  note_incomplete(job);
   const bool names_located_tasks = claim_locations(job);
   jobs::JobProgress progress = job.progress(m_workers, m_timer.wall_ms());
   if (names_located_tasks) {
--- a/src/arbutusdale/sched/scheduler_waiting.cpp
+++ b/src/arbutusdale/sched/scheduler_waiting.cpp
@@ -21,6 +21,8 @@
 // Shorter than the time after which a job counts as stuck.
 constexpr Duration k_reported_wait = std::chrono::seconds{2};
 constexpr Duration k_report_interval = std::chrono::seconds{1};
+// After a takeover, tasks that run count as waiting until their workers have answered.
+constexpr Duration k_adoption_time = std::chrono::milliseconds{500};
 
 constexpr EnumNames<Exclusion, 18> k_exclusion_names{{
     {Exclusion::none, "none"},
@@ -71,8 +73,27 @@
 
 }  // namespace
 
+Duration Scheduler::time_without_run(const Task& task) const {
+  const Duration waited = m_timer.now() - task.ready_at;
+  const Job& job = *task.step->job;
+  if (!task.step->spec->long_running() || !job.taken_over) {
+    return waited;
+  }
+  // A job that an earlier leader has not seen run has waited since it was accepted.
+  const bool never_ran =
+      job.state == proto::jobs::JobState::QUEUED && job.spec().repeat_count() == 0;
+  const std::uint64_t since_ms =
+      never_ran ? job.submitted->accepted_wall_ms() : job.incomplete_since_ms;
+  const std::uint64_t now_ms = m_timer.wall_ms();
+  if (since_ms == 0 || since_ms > now_ms) {
+    return waited;
+  }
+  return std::max<Duration>(waited, std::chrono::milliseconds{now_ms - since_ms});
+}
+
 const Task* Scheduler::find_longest_waiting_task(WaitingKind kind) const {
   const Task* longest = nullptr;
+  Duration longest_wait{};
   m_ready.for_each_step([&](const Step& step, std::size_t) {
     const bool is_lasting = step.spec->long_running();
     const bool is_wanted =
@@ -81,9 +102,14 @@
       return;
     }
     for (const Task& task : step.tasks) {
-      const bool waits_longer = task.phase == TaskPhase::waiting &&
-                                (longest == nullptr || task.ready_at < longest->ready_at);
-      longest = waits_longer ? &task : longest;
+      if (task.phase != TaskPhase::waiting) {
+        continue;
+      }
+      const Duration wait = time_without_run(task);
+      if (longest == nullptr || wait > longest_wait) {
+        longest = &task;
+        longest_wait = wait;
+      }
     }
   });
   return longest;
@@ -109,7 +135,8 @@
   }
   for (const WaitingKind kind : {WaitingKind::lasting, WaitingKind::without_run}) {
     const Task* task = find_longest_waiting_task(kind);
-    if (task == nullptr || now - task->ready_at < k_reported_wait) {
+    if (task == nullptr || time_without_run(*task) < k_reported_wait ||
+        now - task->ready_at < k_adoption_time) {
       continue;
     }
     m_waiting_logged_at = now;
@@ -130,6 +157,7 @@
       .add("step", step.index)
       .add("task", task.index)
       .add_ms("waited_ms", now - task.ready_at)
+      .add_ms("without_run_ms", time_without_run(task))
       .add("cpu_millis", step.need.cpu_millis)
       .add("lasting", step.spec->long_running() ? 1 : 0)
       .add("last_run", task.last_run)
--- a/src/arbutusdale/sched/task_table.cpp
+++ b/src/arbutusdale/sched/task_table.cpp
@@ -58,6 +58,21 @@
   return false;
 }
 
+bool Job::has_waiting_lasting_tasks() const {
+  for (const auto& occurrence : occurrences) {
+    for (const Step& step : occurrence->steps) {
+      const bool any = step.spec->long_running() &&
+                       std::any_of(step.tasks.begin(), step.tasks.end(), [](const Task& task) {
+                         return task.phase == TaskPhase::waiting;
+                       });
+      if (any) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
 void Task::note_checkpoint(const std::string& reported, TimePoint now) {
   if (reported.empty() || reported == checkpoint) {
     return;
@@ -101,6 +116,9 @@
     record.set_ended_wall_ms(wall_ms);
     return record;
   }
+  if (has_waiting_lasting_tasks()) {
+    record.set_incomplete_since_wall_ms(incomplete_since_ms);
+  }
   for (const auto& occurrence : occurrences) {
     for (const Step& step : occurrence->steps) {
       StepProgress entry;
@@ -171,6 +189,7 @@
 // last recorded one.
 void TaskTable::restore(Job& job, const JobProgress& progress) {
   job.state = progress.state();
+  job.incomplete_since_ms = progress.incomplete_since_wall_ms();
   std::uint32_t opened = 0;
   for (const StepProgress& entry : progress.steps()) {
     opened = std::max(opened, entry.occurrence() + 1);
