Ask a slow store for less, and not again for what it is still sending

Cause, as a test on a fake store shows it: a read that timed out was sent again from the same place, for 272 KiB, after a constant 150 ms. A store with a limited rate goes on sending the earlier reply, so its queue grows with each retry and all replies come too late. A scan of several pages began again with its first page, and each change of leadership began another read at once beside those under way.

Change: the size of a reply begins at 64 KiB, grows while replies are quick and leave records unread, and shrinks to a quarter after a time-out, down to 16 KiB. While the store is slow the time for a reply is 2.5 s in place of 1.5 s. The delay after a time-out is 150 to 300 ms and differs by daemon. A scan goes on with the page that timed out. One read at once is in flight for each partition.

--- a/include/arbutusdale/fleet/job_followers.hpp
+++ b/include/arbutusdale/fleet/job_followers.hpp
@@ -10,6 +10,7 @@
 
 #include <memory>
 #include <optional>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -18,7 +19,7 @@
 class JobFollowers {
  public:
   JobFollowers(store::MetadataStore& store, Timer& timer, std::uint32_t wait_ms,
-               Duration read_delay, store::PartitionListener& listener);
+               Duration read_delay, const std::string& daemon, store::PartitionListener& listener);
 
   void start();
   /// Calls `catch_up` on the follower of each partition.
--- a/include/arbutusdale/store/metadata_store.hpp
+++ b/include/arbutusdale/store/metadata_store.hpp
@@ -114,10 +114,16 @@
   std::uint64_t end = 0;
 };
 
+inline constexpr Duration k_read_timeout = std::chrono::milliseconds{1'500};
+inline constexpr std::size_t k_max_read_kib = 272;  // the largest record fits
+
 struct ReadRequest {
   Partition partition;
   std::uint64_t from = 0;
-  std::uint32_t wait_ms = 0;  // longest wait for a first record; 0: none
+  std::uint32_t wait_ms = 0;             // longest wait for a first record; 0: none
+  std::size_t max_kib = k_max_read_kib;  // size of the reply
+  /// Time for the reply, beyond the wait. The store may go on sending it after that.
+  Duration reply_timeout = k_read_timeout;
 };
 
 /// All calls are asynchronous; each completion handler is invoked exactly once.
--- a/include/arbutusdale/store/partition_follower.hpp
+++ b/include/arbutusdale/store/partition_follower.hpp
@@ -1,12 +1,14 @@
 // Follows one keyed partition: scans the newest record of each key, then reads every later record,
 // and scans again when records expired before they were read. A reply that can't be read is asked
-// for again, with growing delays and without end: a scan is complete only once all of its pages
-// have been read, since a key that it leaves out counts as deleted.
+// for again, with growing delays and without end, and so is one that does not come in time: a scan
+// is complete only once all of its pages have been read, since a key that it leaves out counts as
+// deleted.
 #pragma once
 
 #include "arbutusdale/core/timer.hpp"
 #include "arbutusdale/store/metadata_store.hpp"
 #include "arbutusdale/store/read_metrics.hpp"
+#include "arbutusdale/store/read_pacing.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -21,6 +23,7 @@
   Partition partition;
   std::uint32_t wait_ms = 1'000;  // longest wait of a read for a record (long poll)
   Duration read_delay{};          // between reads, so that several records share a read
+  std::uint64_t seed = 0;         // differs between daemons, so that they retry at different times
 };
 
 /// Receives records in the order of their offsets. After another scan a record may be delivered
@@ -69,12 +72,16 @@
  private:
   /// Sends a read, and records in the metrics what becomes of it.
   void send_read(std::uint32_t wait_ms, MetadataStore::ReadDone done);
-  void scan(std::string after_key, TimePoint started_at);
+  void scan(const std::string& after_key, TimePoint started_at);
+  void retry_scan(const ReadError& error, std::string after_key, TimePoint started_at);
   void on_page(const ScanPage& page, TimePoint started_at);
   void read();
   /// Reports a store that has lost records: its end is below the offset read before the call.
   void note_end(std::uint64_t end, std::uint64_t read_through);
   void on_read(const ReadReply& reply, TimePoint sent);
+  /// The reply to a read that was sent at `sent` has been delivered.
+  void note_pace(const ReadReply& reply, TimePoint sent, std::uint32_t wait_ms);
+  void read_at_once();
   void deliver(const std::vector<Record>& records);
   /// Reports the error. Returns the time until the next attempt.
   Duration on_error(const ReadError& error);
@@ -87,11 +94,14 @@
   FollowerOptions m_options;
   PartitionListener& m_listener;
   ReadMetrics m_metrics;
+  ReadPacing m_pacing;
   std::shared_ptr<bool> m_alive;  // false after destruction; completions check it
 
   bool m_loaded = false;
   bool m_available = true;
-  int m_malformed_replies = 0;  // since the last complete scan or readable reply to a read
+  bool m_is_catching_up = false;       // a read at once is in flight or will be repeated
+  bool m_must_catch_up_again = false;  // it was asked for while another one was in flight
+  int m_malformed_replies = 0;         // since the last complete scan or readable reply to a read
   std::uint64_t m_next_offset = 0;
   bool m_end_is_lower = false;              // than what has been read, as of the last reply
   std::optional<std::uint64_t> m_scan_end;  // end of the partition when the scan started
--- a/src/arbutusdale/fleet/cluster_test.hpp
+++ b/src/arbutusdale/fleet/cluster_test.hpp
@@ -110,22 +110,22 @@
         [&](AppendDone reply) { m_store.append(std::move(request), std::move(reply)); });
   }
   void read(store::ReadRequest request, ReadDone done) override {
-    const Duration timeout = std::chrono::milliseconds{request.wait_ms} + k_read_timeout;
+    const Duration timeout = std::chrono::milliseconds{request.wait_ms} + request.reply_timeout;
     send<store::ReadReply, store::ReadError>(
         read_fault, std::move(done), {store::ReadFailure::unavailable, "disconnected"},
-        {store::ReadFailure::unavailable, "no reply"}, timeout,
+        {store::ReadFailure::timed_out, "no reply"}, timeout,
         [&](ReadDone reply) { m_store.read(std::move(request), std::move(reply)); });
   }
   void scan(store::Partition partition, std::string after_key, ScanDone done) override {
     send<store::ScanPage, store::ReadError>(
         read_fault, std::move(done), {store::ReadFailure::unavailable, "disconnected"},
-        {store::ReadFailure::unavailable, "no reply"}, k_read_timeout, [&](ScanDone reply) {
+        {store::ReadFailure::timed_out, "no reply"}, k_scan_timeout, [&](ScanDone reply) {
           m_store.scan(std::move(partition), std::move(after_key), std::move(reply));
         });
   }
 
  private:
-  static constexpr Duration k_read_timeout = std::chrono::seconds{1};
+  static constexpr Duration k_scan_timeout = std::chrono::seconds{1};
 
   template <typename Reply, typename Error>
   using Done = std::function<void(tl::expected<Reply, Error>)>;
--- a/src/arbutusdale/fleet/job_followers.cpp
+++ b/src/arbutusdale/fleet/job_followers.cpp
@@ -1,6 +1,7 @@
 // Combines the followers; the least recent of them determines how fresh the jobs are.
 #include "arbutusdale/fleet/job_followers.hpp"
 
+#include "arbutusdale/core/hash.hpp"
 #include "arbutusdale/jobs/job_table.hpp"
 
 #include <algorithm>
@@ -8,10 +9,14 @@
 namespace arbutusdale::fleet {
 
 JobFollowers::JobFollowers(store::MetadataStore& store, Timer& timer, std::uint32_t wait_ms,
-                           Duration read_delay, store::PartitionListener& listener) {
+                           Duration read_delay, const std::string& daemon,
+                           store::PartitionListener& listener) {
   for (const store::Partition& partition : jobs::job_partitions()) {
     m_partitions.push_back(std::make_unique<FollowedPartition>(
-        store, timer, store::FollowerOptions{partition, wait_ms, read_delay}, listener));
+        store, timer,
+        store::FollowerOptions{partition, wait_ms, read_delay,
+                               stable_hash(daemon, partition.index)},
+        listener));
   }
 }
 
--- a/src/arbutusdale/fleet/node.cpp
+++ b/src/arbutusdale/fleet/node.cpp
@@ -37,7 +37,8 @@
 Node::Node(NodeDependencies dependencies)
     : m_deps(std::move(dependencies)),
       m_job_records(std::make_unique<JobRecords>(*this)),
-      m_job_followers(m_deps.store, m_deps.timer, k_read_wait_ms, k_read_delay, *m_job_records),
+      m_job_followers(m_deps.store, m_deps.timer, k_read_wait_ms, k_read_delay, m_deps.daemon,
+                      *m_job_records),
       m_service(m_deps.store, m_deps.timer, m_jobs, m_job_followers, m_deps.daemon,
                 m_deps.incarnation, m_deps.cpu_share, m_deps.record_limits),
       m_stronger(m_deps.cpu_share),
--- a/src/arbutusdale/fleet/shard_layout_agreement.cpp
+++ b/src/arbutusdale/fleet/shard_layout_agreement.cpp
@@ -48,7 +48,9 @@
       m_timer(timer),
       m_make_directory(std::move(directory)),
       m_options(std::move(options)),
-      m_follower(store, timer, {jobs::layout_partition(), k_read_wait_ms, Duration::zero()},
+      m_follower(store, timer,
+                 {jobs::layout_partition(), k_read_wait_ms, Duration::zero(),
+                  stable_hash(m_options.daemon)},
                  *this) {}
 
 ShardLayoutAgreement::~ShardLayoutAgreement() {
--- a/src/arbutusdale/fleet/shard_member.cpp
+++ b/src/arbutusdale/fleet/shard_member.cpp
@@ -53,7 +53,9 @@
       m_shard(shard),
       m_on_led_changed(std::move(on_led_changed)),
       m_follower(m_deps.store, m_deps.timer,
-                 {jobs::leader_partition(shard), k_read_wait_ms, read_delay(jobs.layout())}, *this),
+                 {jobs::leader_partition(shard), k_read_wait_ms, read_delay(jobs.layout()),
+                  stable_hash(m_deps.daemon, shard)},
+                 *this),
       m_election(candidate_name(m_deps.daemon, shard), m_deps.cpu_share),
       m_alive(std::make_shared<bool>(true)) {}
 
--- a/src/arbutusdale/store/partition_follower.cpp
+++ b/src/arbutusdale/store/partition_follower.cpp
@@ -14,7 +14,7 @@
 using observe::Event;
 using observe::EventLine;
 
-constexpr Duration k_retry_delay = std::chrono::milliseconds{150};
+constexpr Duration k_retry_delay = ReadPacing::k_retry_delay;
 // A reply that can't be read may stay so, and each one costs the store a whole page.
 constexpr Duration k_max_retry_delay = std::chrono::seconds{2};
 constexpr int k_max_doublings = 4;              // of the delay, to reach its maximum
@@ -39,6 +39,7 @@
       m_options(std::move(options)),
       m_listener(listener),
       m_metrics(m_options.partition.topic),
+      m_pacing(m_options.seed),
       m_alive(std::make_shared<bool>(true)) {}
 
 PartitionFollower::~PartitionFollower() {
@@ -67,23 +68,38 @@
   });
 }
 
-void PartitionFollower::scan(std::string after_key, TimePoint started_at) {
+void PartitionFollower::scan(const std::string& after_key, TimePoint started_at) {
   m_metrics.on_sent();
-  m_store.scan(m_options.partition, std::move(after_key),
-               [this, alive = m_alive, metrics = m_metrics,
+  m_store.scan(m_options.partition, after_key,
+               [this, alive = m_alive, metrics = m_metrics, after_key,
                 started_at](tl::expected<ScanPage, ReadError> page) {
                  note_result(metrics, page);
                  if (!*alive) {
                    return;
                  }
                  if (!page) {
-                   schedule(on_error(page.error()), &PartitionFollower::rescan);
+                   retry_scan(page.error(), after_key, started_at);
                    return;
                  }
                  on_page(*page, started_at);
                });
 }
 
+// The pages before one that timed out need not be read again, since pages are not a snapshot.
+void PartitionFollower::retry_scan(const ReadError& error, std::string after_key,
+                                   TimePoint started_at) {
+  const Duration delay = on_error(error);
+  if (error.reason != ReadFailure::timed_out) {
+    schedule(delay, &PartitionFollower::rescan);
+    return;
+  }
+  m_timer.call_after(delay, [this, alive = m_alive, after_key = std::move(after_key), started_at] {
+    if (*alive) {
+      scan(after_key, started_at);
+    }
+  });
+}
+
 // Pages are not a snapshot, so reads continue from the partition's end as of the first page.
 void PartitionFollower::on_page(const ScanPage& page, TimePoint started_at) {
   if (!m_scan_end) {
@@ -124,7 +140,7 @@
 void PartitionFollower::send_read(std::uint32_t wait_ms, MetadataStore::ReadDone done) {
   m_metrics.on_sent();
   m_store.read(
-      {m_options.partition, m_next_offset, wait_ms},
+      {m_options.partition, m_next_offset, wait_ms, m_pacing.max_kib(), m_pacing.reply_timeout()},
       [metrics = m_metrics, done = std::move(done)](tl::expected<ReadReply, ReadError> reply) {
         note_result(metrics, reply);
         done(std::move(reply));
@@ -171,6 +187,7 @@
     m_read_latency += (m_timer.now() - sent - m_read_latency) / k_latency_smoothing_divisor;
   }
   m_next_offset = std::max(m_next_offset, reply.next_offset);
+  note_pace(reply, sent, m_options.wait_ms);
   if (m_next_offset < reply.end) {
     // The reply was not large enough for all records.
     schedule(reply.records.empty() ? k_retry_delay : Duration::zero(), &PartitionFollower::read);
@@ -190,6 +207,17 @@
   schedule(delay, &PartitionFollower::read);
 }
 
+void PartitionFollower::note_pace(const ReadReply& reply, TimePoint sent, std::uint32_t wait_ms) {
+  const bool has_more = m_next_offset < reply.end;
+  if (has_more && reply.records.empty()) {
+    m_pacing.on_page_too_small();
+    return;
+  }
+  const Duration waited =
+      reply.records.empty() ? std::chrono::milliseconds{wait_ms} : Duration::zero();
+  m_pacing.on_reply(m_timer.now() - sent - waited, has_more);
+}
+
 // A reply may be overtaken by one that was sent later; its records must not replace newer ones.
 void PartitionFollower::deliver(const std::vector<Record>& records) {
   for (const Record& record : records) {
@@ -204,6 +232,13 @@
   if (!m_loaded) {
     return;
   }
+  m_must_catch_up_again = m_is_catching_up;
+  if (!std::exchange(m_is_catching_up, true)) {
+    read_at_once();
+  }
+}
+
+void PartitionFollower::read_at_once() {
   const TimePoint sent = m_timer.now();
   send_read(0, [this, alive = m_alive, sent](tl::expected<ReadReply, ReadError> reply) {
     if (!*alive) {
@@ -212,20 +247,25 @@
     if (!reply) {
       m_timer.call_after(on_error(reply.error()), [this, alive] {
         if (*alive) {
-          catch_up();
+          read_at_once();
         }
       });
       return;
     }
     deliver(reply->records);
     m_next_offset = std::max(m_next_offset, reply->next_offset);
+    note_pace(*reply, sent, 0);
     if (m_next_offset < reply->end) {
       schedule(reply->records.empty() ? k_retry_delay : Duration::zero(),
-               &PartitionFollower::catch_up);
+               &PartitionFollower::read_at_once);
       return;
     }
     m_fresh_as_of = std::max(*m_fresh_as_of, sent);
+    m_is_catching_up = false;
     m_listener.on_caught_up();
+    if (std::exchange(m_must_catch_up_again, false)) {
+      catch_up();
+    }
   });
 }
 
@@ -239,7 +279,16 @@
         .add("error", error.message)
         .write();
   }
-  return error.reason == ReadFailure::malformed ? on_malformed(error) : k_retry_delay;
+  switch (error.reason) {
+    case ReadFailure::timed_out:
+      return m_pacing.on_timeout();
+    case ReadFailure::malformed:
+      return on_malformed(error);
+    case ReadFailure::trimmed:
+    case ReadFailure::unavailable:
+      break;
+  }
+  return k_retry_delay;
 }
 
 // What has been delivered stays, and fresh_as_of() does not advance, so that a daemon whose view
