--- a/src/arbutusdale/sched/opportunistic_work_test.cpp
+++ b/src/arbutusdale/sched/opportunistic_work_test.cpp
@@ -14,7 +14,6 @@
 using namespace arbutusdale;
 using namespace arbutusdale::sched;
 using namespace std::chrono_literals;
-using proto::jobs::JobState;
 
 namespace {
 
