--- a/src/arbutusdale/sched/fake_progress_log_test.hpp
+++ b/src/arbutusdale/sched/fake_progress_log_test.hpp
@@ -22,6 +22,7 @@
   explicit FakeProgressLog(store::FakeTimer& timer) : m_timer(timer) {}
 
   bool down = false;
+  bool drops_second_half = false;  // of each write, which is not answered
   std::uint32_t term = 0;   // of the newest leader
   std::uint64_t bytes = 0;  // of all values stored
   jobs::JobTable jobs;      // as every daemon sees it
@@ -50,11 +51,15 @@
                            write_in_term(of_term, entries, done);
                            return;
                          }
-                         for (const auto& entry : entries) {
-                           bytes += entry.value.size();
-                           jobs.apply_leader_record(jobs::k_first_shard, {m_offset++, entry});
+                         const std::size_t count =
+                             drops_second_half ? entries.size() / 2 : entries.size();
+                         for (std::size_t i = 0; i < count; ++i) {
+                           bytes += entries[i].value.size();
+                           jobs.apply_leader_record(jobs::k_first_shard, {m_offset++, entries[i]});
+                         }
+                         if (count == entries.size()) {
+                           done(true);
                          }
-                         done(true);
                        });
   }
 
