Store a job again whose record names workers that have answered

Lasting tasks waited for a worker that is silent under the third leader, although the second one had its answer that the task does not run there: since the takeover record, a job is stored again only if other tasks are located. Now also if a worker that its record names has answered without the run.

--- a/include/arbutusdale/sched/takeover_fence.hpp
+++ b/include/arbutusdale/sched/takeover_fence.hpp
@@ -50,8 +50,9 @@
 /// tasks of the job, which wait for other workers.
 void hold_tasks(Job& job, const std::vector<WorkerSlot>& silent_workers);
 
-/// True if the job has to be stored for its record to locate the tasks that this leader locates.
-[[nodiscard]] bool is_location_outdated(const Job& job);
+/// True if the job has to be stored for its record to locate the tasks that this leader locates, or
+/// not to name workers that have answered without a run of them.
+[[nodiscard]] bool is_location_outdated(const Job& job, const WorkerTable& workers);
 
 /// Chooses the tasks that the next record of the job names as located, and has their later starts
 /// stored first. Returns false when there are none.
--- a/src/arbutusdale/sched/scheduler.cpp
+++ b/src/arbutusdale/sched/scheduler.cpp
@@ -294,7 +294,7 @@
       continue;
     }
     hold_tasks(*job, silent);
-    if (is_location_outdated(*job)) {
+    if (is_location_outdated(*job, m_workers)) {
       mark_dirty(*job);
     }
   }
--- a/src/arbutusdale/sched/takeover_fence.cpp
+++ b/src/arbutusdale/sched/takeover_fence.cpp
@@ -67,8 +67,16 @@
   task.earlier_workers.clear();
 }
 
-bool is_recorded_otherwise(const Task& task) {
-  return task.phase != TaskPhase::done && task.claims_location != may_be_claimed(task);
+// A worker that has answered runs nothing of the task that this leader does not know.
+bool names_answered_worker(const Task& task, const WorkerTable& workers) {
+  return std::any_of(
+      task.earlier_workers.begin(), task.earlier_workers.end(),
+      [&workers](WorkerSlot slot) { return !awaits_first_answer(workers.at(slot)); });
+}
+
+bool is_recorded_otherwise(const Task& task, const WorkerTable& workers) {
+  return task.phase != TaskPhase::done &&
+         (task.claims_location != may_be_claimed(task) || names_answered_worker(task, workers));
 }
 
 void add_location(const Task& task, const Worker& worker, StepProgress& entry) {
@@ -158,13 +166,18 @@
                      [&workers](WorkerSlot slot) { return awaits_first_answer(workers.at(slot)); });
 }
 
-bool is_location_outdated(const Job& job) {
-  return std::any_of(job.occurrences.begin(), job.occurrences.end(), [](const auto& occurrence) {
-    const auto& steps = occurrence->steps;
-    return std::any_of(steps.begin(), steps.end(), [](const Step& step) {
-      return std::any_of(step.tasks.begin(), step.tasks.end(), is_recorded_otherwise);
-    });
-  });
+bool is_location_outdated(const Job& job, const WorkerTable& workers) {
+  for (const auto& occurrence : job.occurrences) {
+    for (const Step& step : occurrence->steps) {
+      const bool is_outdated = std::any_of(
+          step.tasks.begin(), step.tasks.end(),
+          [&workers](const Task& task) { return is_recorded_otherwise(task, workers); });
+      if (is_outdated) {
+        return true;
+      }
+    }
+  }
+  return false;
 }
 
 bool claim_locations(Job& job) {
