--- a/src/arbutusdale/sched/takeover_record_test.cpp
+++ b/src/arbutusdale/sched/takeover_record_test.cpp
@@ -1,5 +1,5 @@
-// Tests of what a leader leaves to the next one about the jobs that it has taken over, and a soak in
-// which runs fail, answers are lost, and only a part of a write is stored. Other seeds with
+// Tests of what a leader leaves to the next one about the jobs that it has taken over, and a soak
+// in which runs fail, answers are lost, and only a part of a write is stored. Other seeds with
 // ARBUTUSDALE_TAKEOVER_SEEDS and ARBUTUSDALE_TAKEOVER_FIRST_SEED.
 #include "arbutusdale/core/random.hpp"
 
@@ -36,7 +36,8 @@
 
 // Guards against a lasting task that waits for the worker that its record names although the
 // preceding leader has learned from that worker that it does not run there.
-Test(takeover_record, a_worker_that_has_answered_without_the_run_is_not_awaited_by_the_next_leader) {
+Test(takeover_record,
+     a_worker_that_has_answered_without_the_run_is_not_awaited_by_the_next_leader) {
   CrashFixture f(4);
   f.lead();
   f.timer.advance(1s);
@@ -176,3 +177,28 @@
     }
   }
 }
+
+// Guards against a start that the next leader does not know of: the record of the leader before the
+// last locates the task, and the last one has confirmed it and started the task without storing it.
+Test(takeover_record, a_task_of_a_confirmed_record_is_not_started_before_it_is_stored) {
+  CrashFixture f(4);
+  f.lead();
+  f.timer.advance(1s);
+  f.submit_serving(k_job, 1);
+  f.timer.advance(2s);
+  const std::string first = worker_of(f, k_job);
+  f.leaders.back()->kill();
+  for (const auto& [id, worker] : f.fleet.all()) {
+    worker->partitioned = id != first && id == f.fleet.all().rbegin()->first;
+  }
+  f.lead();
+  f.timer.advance(2s);
+  f.log.down = true;
+  f.fleet.at(first).fails_all_runs = true;
+  f.timer.advance(50ms);
+  f.fleet.at(first).fails_all_runs = false;
+  cr_assert_eq(f.running_tasks(k_job), 0U);
+  f.timer.advance(1s);
+  cr_expect_eq(f.fleet.starts, 1U);
+  f.expect_nothing_doubled();
+}
