Apply the review of the takeover record and of places

- A job was stored again if any worker that its record names had answered, which is nearly every lasting job.
Now only a task without a run counts, since the record of a task with a run names the worker of that run.
- A late order that makes a held task lose its location writes the record of the takeover again, since that record still holds the task.
- The steps of the free processors that a leader states are a part of the largest worker's, so that a fleet of small workers states its room.

--- a/include/arbutusdale/sched/scheduler.hpp
+++ b/include/arbutusdale/sched/scheduler.hpp
@@ -118,9 +118,8 @@
   [[nodiscard]] std::size_t waiting_tasks() const { return m_ready.size(); }
   /// Room of the workers that are registered and ready, less what waiting tasks need.
   [[nodiscard]] ShardRoom room() const;
-  /// Places for lasting tasks on these workers, once the other tasks have ended, less those that
-  /// waiting lasting tasks of other jobs than `except` will take.
-  [[nodiscard]] TaskPlaces task_places(const Job* except = nullptr) const;
+  /// Places for lasting tasks on these workers, once the other tasks have ended.
+  [[nodiscard]] LastingRoom lasting_room() const;
   /// Number of times that placement has examined a worker, as a measure of its cost.
   [[nodiscard]] std::uint64_t workers_examined() const { return m_workers_examined; }
   [[nodiscard]] const WorkerTable& workers() const { return m_workers; }
@@ -192,8 +191,6 @@
   [[nodiscard]] bool may_start_taken_over_jobs() const;
   /// Restores where an earlier leader's runs of the tasks may be alive, as far as that is recorded.
   void restore_locations_of(Job& job, const jobs::JobEntry& entry);
-  /// True if the record may lack tasks that the preceding leader's takeover record names as held.
-  [[nodiscard]] bool lacks_locations(const jobs::JobEntry& entry) const;
   /// Stores once, a moment after the takeover, for which workers the tasks of the jobs that were
   /// taken over wait, if there are any.
   void hold_tasks_of_silent_workers();
@@ -237,7 +234,7 @@
   [[nodiscard]] bool is_at_rest(const Job& job) const;
   /// `own` must leave the job's need out. Empty when the job should stay for now.
   std::optional<jobs::ShardIndex> find_suitable_shard(Job& job, Duration waited,
-                                                      const ShardRoom& own);
+                                                      const ShardRoom& own, bool has_places);
   /// The job belongs to the other shard from now on, and `job` is gone.
   void move_to(Job& job, jobs::ShardIndex shard);
   /// Returns true when a job that has just arrived belongs to another shard from now on.
--- a/include/arbutusdale/sched/task_places.hpp
+++ b/include/arbutusdale/sched/task_places.hpp
@@ -2,21 +2,23 @@
 // needs all of its processors on one worker, and a step may limit its tasks on each worker.
 #pragma once
 
+#include "arbutusdale/jobs/ids.hpp"
 #include "arbutusdale/sched/job_need.hpp"
 #include "arbutusdale/sched/worker_orders.hpp"
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <vector>
 
 namespace arbutusdale::sched {
 
-/// Number of workers with a given least number of free processors: entry i counts those with at
-/// least `(i + 1) * k_free_step_millis`.
-using FreeWorkerCounts = std::vector<std::uint32_t>;
-
-inline constexpr std::uint64_t k_free_step_millis = 2'000;  // thousandths of a processor
-inline constexpr std::size_t k_max_free_steps = 64;         // the last one has no upper bound
+/// Number of workers by their free processors: entry i of `counts` counts those with at least
+/// `(i + 1) * step_millis` thousandths of a processor.
+struct FreeWorkerCounts {
+  std::uint64_t step_millis = 1;
+  std::vector<std::uint32_t> counts;
+};
 
 /// Processors of the workers of a shard, in thousandths, beside the tasks that last. Only
 /// processors are counted. Not thread-safe.
@@ -39,10 +41,17 @@
   };
 
   std::vector<Place> m_workers;
+  std::uint64_t m_largest_millis = 0;  // processors of the largest worker
+};
+
+/// What is left for lasting tasks beside those that run or wait.
+struct LastingRoom {
+  TaskPlaces places;
+  std::set<jobs::JobId> jobs_without_places;  // for at least one of their waiting tasks
 };
 
 /// True if workers with these free processors have places for each step of the job by itself.
 /// Labels and services aren't known.
-[[nodiscard]] bool has_places_for(const FreeWorkerCounts& counts, const JobNeed& need);
+[[nodiscard]] bool may_have_places_for(const FreeWorkerCounts& free, const JobNeed& need);
 
 }  // namespace arbutusdale::sched
--- a/src/arbutusdale/fleet/leader.cpp
+++ b/src/arbutusdale/fleet/leader.cpp
@@ -179,8 +179,9 @@
   record.set_released(released);
   const std::int64_t free_millis = m_scheduler.room().total_free_millis();
   record.set_free_cpu_millis(static_cast<std::uint64_t>(std::max<std::int64_t>(free_millis, 0)));
-  const sched::FreeWorkerCounts free_workers = m_scheduler.task_places().count_free_workers();
-  record.mutable_free_workers()->mutable_counts()->Assign(free_workers.begin(), free_workers.end());
+  const auto [step_millis, counts] = m_scheduler.lasting_room().places.count_free_workers();
+  record.mutable_free_workers()->set_step_millis(step_millis);
+  record.mutable_free_workers()->mutable_counts()->Assign(counts.begin(), counts.end());
   return record;
 }
 
--- a/src/arbutusdale/fleet/shard_rooms.cpp
+++ b/src/arbutusdale/fleet/shard_rooms.cpp
@@ -84,8 +84,10 @@
   if (!need.lasts || !leadership->has_free_workers()) {
     return true;
   }
-  const auto& counts = leadership->free_workers().counts();
-  return sched::has_places_for({counts.begin(), counts.end()}, need);
+  const auto& stated = leadership->free_workers();
+  const sched::FreeWorkerCounts free{stated.step_millis(),
+                                     {stated.counts().begin(), stated.counts().end()}};
+  return sched::may_have_places_for(free, need);
 }
 
 std::optional<jobs::ShardIndex> ShardRooms::find_target(const sched::JobNeed& need,
--- a/src/arbutusdale/sched/scheduler.cpp
+++ b/src/arbutusdale/sched/scheduler.cpp
@@ -25,6 +25,12 @@
 // Time to stop the runs of a draining worker and to learn of their ends and checkpoints.
 constexpr Duration k_exit_margin = std::chrono::milliseconds{1'200};
 
+// A task that the preceding leader held may have been started since, and the record of that start
+// may have been shortened.
+bool was_trimmed(const jobs::JobEntry& entry) {
+  return entry.progress && entry.progress->locations_removed();
+}
+
 }  // namespace
 
 Scheduler::Scheduler(WorkerOrders& orders, Advisor& advisor, ProgressLog& log, Timer& timer,
@@ -103,7 +109,7 @@
       .add_ms("due_in_ms", job->due - m_timer.now())
       .write();
   open_due_occurrences(*job);
-  if (!lacks_locations(entry)) {
+  if (!was_trimmed(entry)) {
     m_earlier_takeover.restore_held_tasks(*job);
   }
   const bool all_done = job->occurrences_done == job->occurrence_count();
@@ -125,12 +131,6 @@
   }
 }
 
-// A task that the preceding leader held may have been started since, and the record of that start
-// may have been shortened.
-bool Scheduler::lacks_locations(const jobs::JobEntry& entry) const {
-  return entry.progress && entry.progress->locations_removed();
-}
-
 void Scheduler::open_due_occurrences(Job& job) {
   enqueue_tasks(m_tasks.open_occurrences(job, m_timer.wall_ms()));
 }
--- a/src/arbutusdale/sched/scheduler_moves.cpp
+++ b/src/arbutusdale/sched/scheduler_moves.cpp
@@ -96,24 +96,27 @@
   return room;
 }
 
-TaskPlaces Scheduler::task_places(const Job* except) const {
-  TaskPlaces places;
+LastingRoom Scheduler::lasting_room() const {
+  LastingRoom room;
   const TimePoint now = m_timer.now();
   for (const auto& worker : m_workers.all()) {
     if (may_run_tasks(*worker, now)) {
       const std::uint64_t capacity = worker->entry.capacity.cpu_millis;
-      places.add_worker(worker->entry, capacity - std::min(capacity, worker->serving_cpu_millis));
+      room.places.add_worker(worker->entry,
+                             capacity - std::min(capacity, worker->serving_cpu_millis));
     }
   }
-  m_ready.for_each_step([&places, except](const Step& step, std::size_t waiting) {
-    if (step.job == except || !step.spec->long_running() || step.spec->opportunistic()) {
+  m_ready.for_each_step([&room](const Step& step, std::size_t waiting) {
+    if (!step.spec->long_running() || step.spec->opportunistic()) {
       return;
     }
     const auto tasks = static_cast<std::uint32_t>(waiting);
     const StepNeed need{step.spec->required_label(), step.need, tasks, step.spec->max_per_worker()};
-    places.take(step.job->terms().service(), need, tasks);
+    if (room.places.take(step.job->terms().service(), need, tasks) > 0) {
+      room.jobs_without_places.insert(step.job->id);
+    }
   });
-  return places;
+  return room;
 }
 
 // Before the first worker is known, nothing can be said of the room.
@@ -171,11 +174,11 @@
 }
 
 std::optional<jobs::ShardIndex> Scheduler::find_suitable_shard(Job& job, Duration waited,
-                                                               const ShardRoom& own) {
+                                                               const ShardRoom& own,
+                                                               bool has_places) {
   const TimePoint now = m_timer.now();
   job.next_move_search_at = now + k_min_wait;
   const JobNeed need = remaining_need(job);
-  const bool has_places = !need.lasts || task_places(&job).has_places_for(need);
   const Shortage shortage = shortage_for(need, own, has_places);
   const bool is_due = shortage == Shortage::of_workers
                           ? job.moves == 0 || waited >= min_wait(job.moves)
@@ -223,7 +226,9 @@
   if (!may_move_jobs() || !may_move(job)) {
     return false;
   }
-  const auto target = find_suitable_shard(job, Duration::zero(), room());
+  const JobNeed need = remaining_need(job);
+  const bool has_places = !need.lasts || lasting_room().places.has_places_for(need);
+  const auto target = find_suitable_shard(job, Duration::zero(), room(), has_places);
   if (!target) {
     return false;
   }
@@ -255,12 +260,17 @@
       waiting.try_emplace(job.id, since);
     }
   });
+  if (waiting.empty()) {
+    return;
+  }
   ShardRoom own = room();
+  const LastingRoom lasting = lasting_room();
   for (const auto& [id, since] : waiting) {
     Job& job = *m_tasks.find(id);
     const JobNeed need = remaining_need(job);
     own.give_back(need);
-    if (const auto target = find_suitable_shard(job, now - since, own)) {
+    const bool has_places = !lasting.jobs_without_places.contains(id);
+    if (const auto target = find_suitable_shard(job, now - since, own, has_places)) {
       move_to(job, *target);
       continue;
     }
--- a/src/arbutusdale/sched/scheduler_runs.cpp
+++ b/src/arbutusdale/sched/scheduler_runs.cpp
@@ -152,7 +152,10 @@
     run->order_sent_at = m_timer.now();
     run->throttle_percent = k_unknown_throttle_percent;
     worker.add_run(*task, row.run);
+    const bool was_held = task->is_held;
     note_live_run(*task, row.run);
+    // The stored record still says that the task runs only on silent workers.
+    m_takeover_record_due = m_takeover_record_due || (was_held && !task->is_located);
     EventLine(Event::run_adopted)
         .add("job", row.task.job.view())
         .add("step", row.task.step)
--- a/src/arbutusdale/sched/scheduler_storage.cpp
+++ b/src/arbutusdale/sched/scheduler_storage.cpp
@@ -80,7 +80,8 @@
     entries.push_back(jobs::encode(storable_progress(*job)));
     written.push_back(id);
   }
-  // After the records of jobs, since it says which of them are up to date.
+  // After the records of jobs, since it confirms those that are not written again, and only the
+  // first ones of the entries may get stored.
   const bool writes_takeover = std::exchange(m_takeover_record_due, false);
   if (writes_takeover) {
     entries.push_back(
--- a/src/arbutusdale/sched/takeover_fence.cpp
+++ b/src/arbutusdale/sched/takeover_fence.cpp
@@ -67,11 +67,14 @@
   task.earlier_workers.clear();
 }
 
-// A worker that has answered runs nothing of the task that this leader does not know.
+// The record names a worker that has answered without a run of the task. A task with a run is left
+// alone: its record names the worker of the run, in most cases as the only one.
 bool names_answered_worker(const Task& task, const WorkerTable& workers) {
-  return std::any_of(
-      task.earlier_workers.begin(), task.earlier_workers.end(),
-      [&workers](WorkerSlot slot) { return !awaits_first_answer(workers.at(slot)); });
+  const auto& earlier = task.earlier_workers;
+  return task.runs.empty() &&
+         std::any_of(earlier.begin(), earlier.end(), [&workers](WorkerSlot slot) {
+           return !awaits_first_answer(workers.at(slot));
+         });
 }
 
 bool is_recorded_otherwise(const Task& task, const WorkerTable& workers) {
--- a/src/arbutusdale/sched/task_places.cpp
+++ b/src/arbutusdale/sched/task_places.cpp
@@ -7,6 +7,8 @@
 namespace arbutusdale::sched {
 namespace {
 
+constexpr std::uint64_t k_free_steps = 32;  // of the largest worker's processors
+
 std::uint32_t tasks_that_fit(std::uint64_t free_millis, const StepNeed& need) {
   const std::uint64_t size = std::max<std::uint64_t>(need.task.cpu_millis, 1);
   const std::uint64_t fitting =
@@ -19,6 +21,7 @@
 
 void TaskPlaces::add_worker(const WorkerEntry& entry, std::uint64_t free_millis) {
   m_workers.push_back({entry.service, entry.labels, free_millis});
+  m_largest_millis = std::max(m_largest_millis, entry.capacity.cpu_millis);
 }
 
 std::uint32_t TaskPlaces::take(const std::string& service, const StepNeed& need,
@@ -53,25 +56,26 @@
 }
 
 FreeWorkerCounts TaskPlaces::count_free_workers() const {
-  FreeWorkerCounts counts;
+  FreeWorkerCounts free;
+  free.step_millis = std::max<std::uint64_t>(m_largest_millis / k_free_steps, 1);
   for (const Place& place : m_workers) {
-    const std::size_t steps =
-        std::min<std::size_t>(place.free_millis / k_free_step_millis, k_max_free_steps);
-    counts.resize(std::max(counts.size(), steps));
+    const std::size_t steps = place.free_millis / free.step_millis;
+    free.counts.resize(std::max(free.counts.size(), steps));
     for (std::size_t i = 0; i < steps; ++i) {
-      ++counts[i];
+      ++free.counts[i];
     }
   }
-  return counts;
+  return free;
 }
 
-bool has_places_for(const FreeWorkerCounts& counts, const JobNeed& need) {
-  return std::all_of(need.steps.begin(), need.steps.end(), [&counts](const StepNeed& step) {
+bool may_have_places_for(const FreeWorkerCounts& free, const JobNeed& need) {
+  const auto& counts = free.counts;
+  return std::all_of(need.steps.begin(), need.steps.end(), [&](const StepNeed& step) {
     std::uint64_t places = 0;
     for (std::size_t i = 0; i < counts.size(); ++i) {
       const std::uint32_t above = i + 1 < counts.size() ? counts[i + 1] : 0;
       const std::uint32_t workers = counts[i] - std::min(counts[i], above);
-      places += std::uint64_t{workers} * tasks_that_fit((i + 1) * k_free_step_millis, step);
+      places += std::uint64_t{workers} * tasks_that_fit((i + 1) * free.step_millis, step);
     }
     return places >= step.tasks_at_once;
   });
