--- a/src/arbutusdale/sched/waiting_known_red.cpp
+++ b/src/arbutusdale/sched/waiting_known_red.cpp
@@ -39,3 +39,8 @@
 Test(waiting, no_task_waits_behind_a_task_that_crashes_workers_after_seconds) {
   expect_no_task_waits(late_shape(), {.first = 18, .count = 1});
 }
+
+// Guards against large tasks that wait behind small ones after a storm.
+Test(waiting, no_task_waits_after_a_storm_among_tasks_of_several_sizes) {
+  expect_no_task_waits(sizes_shape(), {.first = 50, .count = 1});
+}
