--- a/src/arbutusdale/sched/takeover_record.cpp
+++ b/src/arbutusdale/sched/takeover_record.cpp
@@ -1,4 +1,8 @@
 // Encoding of what is known of taken-over jobs, and its use by the next leader.
+//
+// Invariant, from when the record is written until the term ends: a start of a task that the record
+// holds, or that a progress record confirmed by it locates, is sent only after the job's progress
+// is stored again. If a held task loses its location in another way, the record is written again.
 #include "arbutusdale/sched/takeover_record.hpp"
 
 #include "arbutusdale/sched/takeover_fence.hpp"
