--- a/src/arbutusdale/sched/takeover_fence.cpp
+++ b/src/arbutusdale/sched/takeover_fence.cpp
@@ -2,9 +2,9 @@
 // it.
 //
 // States of a task, by its flags: not located (it waits for all silent workers); located (for
-// `earlier_workers`); located and held (for the job's `silent_workers`). `is_stored_first` stays set
-// once a record has located or held the task; `claims_location` says that the job's newest record
-// locates it, which it never does for a held one.
+// `earlier_workers`); located and held (for the job's `silent_workers`). `is_stored_first` stays
+// set once a record has located or held the task; `claims_location` says that the job's newest
+// record locates it, which it never does for a held one.
 #include "arbutusdale/sched/takeover_fence.hpp"
 
 #include "arbutusdale/sched/worker_table.hpp"
