--- a/src/arbutusdale/store/read_pacing_test.cpp
+++ b/src/arbutusdale/store/read_pacing_test.cpp
@@ -123,6 +123,15 @@
   cr_assert_eq(pacing.max_kib(), first);
 }
 
+// Guards against a daemon that falls further and further behind a busy partition, since its pages
+// stay small while replies take some tenths of a second.
+Test(read_pacing, pages_grow_while_replies_take_half_a_second) {
+  ReadPacing pacing(1);
+  const std::size_t first = pacing.max_kib();
+  pacing.on_reply(500ms, true);
+  cr_assert_gt(pacing.max_kib(), first);
+}
+
 // Guards against a record that never fits in the pages that a follower asks for.
 Test(read_pacing, a_page_without_a_record_is_followed_by_the_largest) {
   ReadPacing pacing(1);
