--- a/src/arbutusdale/store/read_pacing.cpp
+++ b/src/arbutusdale/store/read_pacing.cpp
@@ -12,6 +12,7 @@
 constexpr std::size_t k_min_read_kib = 16;
 constexpr std::size_t k_shrink_factor = 4;
 constexpr std::size_t k_growth_factor = 2;
+// A reply twice as large as one that came within this time still comes within k_read_timeout.
 constexpr Duration k_quick_reply = std::chrono::milliseconds{700};
 // A view is as old as the request for its newest reply, and callers are refused with a view of the
 // jobs that is older than this. A longer time would only delay the first read after a silence of
