--- a/src/arbutusdale/sched/returned_workers_known_red.cpp
+++ b/src/arbutusdale/sched/returned_workers_known_red.cpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "late_orders_test.hpp"
+#include "returned_workers_soak_test.hpp"
 #include "sched_fixture_test.hpp"
 #include <criterion/criterion.h>
 
@@ -172,3 +173,14 @@
   cr_expect_eq(f.fleet.running(), k_tasks, "%zu of %u tasks run", f.fleet.running(), k_tasks);
   cr_expect_eq(f.fleet.doubled, 0U);
 }
+
+// Guards against tasks that run twice or not at all after series of returns, cuts and changes of
+// leader, while polls and stops are carried out late.
+Test(returned_workers, a_series_of_returns_with_late_polls_doubles_and_loses_nothing) {
+  expect_no_harm_by_returned_workers(LateKinds::polls_and_stops);
+}
+
+// Guards against the same while starts are late too.
+Test(returned_workers, a_series_of_returns_with_late_orders_doubles_and_loses_nothing) {
+  expect_no_harm_by_returned_workers(LateKinds::all);
+}
