--- a/src/arbutusdale/sched/returned_workers_known_red.cpp
+++ b/src/arbutusdale/sched/returned_workers_known_red.cpp
@@ -174,6 +174,34 @@
   cr_expect_eq(f.fleet.doubled, 0U);
 }
 
+// Guards against a second run beside one that the next incarnation has started before the leader
+// knew of it: the lease of the start is one on the earlier clock, so that it lasts longer on the
+// next one, which starts anew.
+Test(returned_workers, a_start_sent_before_the_restart_is_known_holds_no_longer_lease) {
+  FleetFixture f(2);
+  f.fleet.work_of = [](const jobs::TaskId&) { return 20s; };
+  LateOrders orders(f.fleet, f.timer);
+  LeaderFixture leader(f.timer, f.fleet, f.log, 1, /*jobs_caught_up=*/true, &orders);
+  f.timer.advance(10s);
+  WorkerEntry other = f.fleet.at("w01").entry;
+  other.state = WorkerState::draining;
+  leader.scheduler->on_worker_updated(other);
+  orders.delay_next_poll("w00", 15s);
+  f.fleet.restart("w00");
+  f.timer.advance(400ms);
+  JobBuilder job(1);
+  job.step(1, 1'000);
+  leader.submit(job);
+  f.timer.advance(100ms);
+  cr_assert_eq(f.fleet.starts, 1U);
+  orders.set_cut("w00", Cut::both);
+  other.state = WorkerState::ready;
+  leader.scheduler->on_worker_updated(other);
+  f.timer.advance(10s);
+  cr_expect_eq(f.fleet.running(), 1U);
+  cr_expect_eq(f.fleet.doubled, 0U, "%lu starts beside a live run", f.fleet.doubled);
+}
+
 // Guards against tasks that run twice or not at all after series of returns, cuts and changes of
 // leader, while polls and stops are carried out late.
 Test(returned_workers, a_series_of_returns_with_late_polls_doubles_and_loses_nothing) {
