--- a/src/arbutusdale/sched/late_orders_test.hpp
+++ b/src/arbutusdale/sched/late_orders_test.hpp
@@ -34,7 +34,8 @@
   /// Bounds of the delay of orders that are late by their share.
   Duration least_delay = std::chrono::milliseconds{500};
   Duration most_delay = std::chrono::seconds{12};
-  std::uint64_t late_polls = 0;  // number so far
+  /// False: late starts are lost if the worker has restarted by then.
+  bool late_starts_cross_restarts = true;
 
   void set_cut(const std::string& worker, Cut cut) { m_paths[worker].cut = cut; }
   /// The next poll of the worker gets no answer and is carried out `delay` later.
@@ -56,15 +57,20 @@
     if (delay == Duration::zero()) {
       delay = draw_delay(shares.polls);
     }
-    late_polls += delay > Duration::zero() ? 1 : 0;
     send<PollReply>(to, delay, std::move(done), [this, to, order](const PollDone& answered) {
       m_fleet.poll(to, order, answered);
     });
   }
   void start(const WorkerEndpoint& to, const StartOrder& order, Done done) override {
-    send<OrderReply>(
-        to, draw_delay(shares.starts), std::move(done),
-        [this, to, order](const Done& answered) { m_fleet.start(to, order, answered); });
+    const Duration delay = draw_delay(shares.starts);
+    const bool may_be_lost = delay > Duration::zero() && !late_starts_cross_restarts;
+    send<OrderReply>(to, delay, std::move(done),
+                     [this, to, order, may_be_lost](const Done& answered) {
+                       if (may_be_lost && has_restarted(to)) {
+                         return;
+                       }
+                       m_fleet.start(to, order, answered);
+                     });
   }
   void stop(const WorkerEndpoint& to, const RunOrder& order, Done done) override {
     send<OrderReply>(
@@ -97,6 +103,11 @@
     return least_delay + Duration{random_index(m_random, range + 1)};
   }
 
+  /// Also true while the worker is down.
+  [[nodiscard]] bool has_restarted(const WorkerEndpoint& since) {
+    const FakeWorker& worker = m_fleet.at(since.id);
+    return worker.crashed || worker.entry.incarnation != since.incarnation;
+  }
   [[nodiscard]] bool loses_orders(const std::string& worker) {
     const Cut cut = m_paths[worker].cut;
     return cut == Cut::orders || cut == Cut::both;
--- a/src/arbutusdale/sched/returned_workers_known_red.cpp
+++ b/src/arbutusdale/sched/returned_workers_known_red.cpp
@@ -208,7 +208,13 @@
   expect_no_harm_by_returned_workers(LateKinds::polls_and_stops);
 }
 
-// Guards against the same while starts are late too.
+// Guards against the same while starts are late too, within one incarnation.
+Test(returned_workers, a_series_of_returns_with_late_starts_doubles_and_loses_nothing) {
+  expect_no_harm_by_returned_workers(LateKinds::starts_within_incarnation);
+}
+
+// Guards against the same while late starts may be carried out by the next incarnation, also before
+// any other order reaches it, as in sched_late_start_test.
 Test(returned_workers, a_series_of_returns_with_late_orders_doubles_and_loses_nothing) {
   expect_no_harm_by_returned_workers(LateKinds::all);
 }
--- a/src/arbutusdale/sched/returned_workers_soak_test.hpp
+++ b/src/arbutusdale/sched/returned_workers_soak_test.hpp
@@ -22,8 +22,12 @@
 
 namespace arbutusdale::sched {
 
-/// Which orders may be late. Late starts reach an incarnation before its first order of its own.
-enum class LateKinds : std::uint8_t { polls_and_stops, all };
+/// Which orders may be late.
+enum class LateKinds : std::uint8_t {
+  polls_and_stops,
+  starts_within_incarnation,  ///< also starts, which are lost if the worker has restarted
+  all,                        ///< also starts; some reach the next incarnation before other orders
+};
 
 /// One fleet under a series of returns, cuts and changes of leader, and the jobs that it is given.
 class ReturnedWorkersSoak : FleetFixture {
@@ -42,7 +46,8 @@
       submit_lasting();
     }
     const double share = k_least_late + (k_most_late - k_least_late) * random_unit(m_draws.random);
-    m_orders.shares = {share, late == LateKinds::all ? share : 0, share};
+    m_orders.shares = {share, late == LateKinds::polls_and_stops ? 0 : share, share};
+    m_orders.late_starts_cross_restarts = late == LateKinds::all;
   }
 
   void run() {
