--- a/src/arbutusdale/sched/returned_workers_known_red.cpp
+++ b/src/arbutusdale/sched/returned_workers_known_red.cpp
@@ -108,6 +108,31 @@
   }
 };
 
+/// A leader of two workers, of which only w00 takes starts until w01 is ready.
+struct PairFixture : FleetFixture {
+  LateOrders orders{fleet, timer};
+  LeaderFixture leader;
+  FakeWorker& worker = fleet.at("w00");
+
+  explicit PairFixture(Duration work)
+      : FleetFixture(2), leader(timer, fleet, log, 1, /*jobs_caught_up=*/true, &orders) {
+    fleet.work_of = [work](const jobs::TaskId&) { return work; };
+    timer.advance(1s);
+    set_other(WorkerState::draining);
+  }
+  void set_other(WorkerState state) {
+    WorkerEntry entry = fleet.at("w01").entry;
+    entry.state = state;
+    leader.scheduler->on_worker_updated(entry);
+  }
+  /// Submits a job of one task.
+  void submit(std::uint32_t number) {
+    JobBuilder job(number);
+    job.step(1, 1'000);
+    leader.submit(job);
+  }
+};
+
 }  // namespace
 
 // Guards against a task that starts again after its success: a poll that was sent before the
@@ -145,6 +170,26 @@
   }
 }
 
+// Guards against the same when the leader changes between the return and the cut. Passes, since the
+// workers have seen an order of the later term.
+Test(returned_workers,
+     an_acknowledgement_of_the_earlier_leader_is_refused_after_an_order_of_the_next_one) {
+  for (const Cut cut : {Cut::answers, Cut::orders, Cut::both}) {
+    ReturnFixture fixture;
+    fixture.acknowledge_ends();
+    fixture.return_before_late_polls(3'400ms);
+    fixture.leader().kill();
+    fixture.timer.advance(500ms);
+    fixture.lead();
+    fixture.timer.advance(500ms);
+    fixture.cut_off_during_job(2, cut);
+    fixture.timer.advance(2s);  // the runs end, and the late polls arrive
+    fixture.set_cut(Cut::none);
+    fixture.timer.advance(20s);
+    fixture.expect_each_task_done_once(2);
+  }
+}
+
 // Guards against lasting tasks that wait although their workers are back: these get no starts while
 // an order to their earlier incarnation may be carried out, and all other workers are full.
 Test(returned_workers, lasting_tasks_of_a_crashed_failure_domain_start_soon_after_its_return) {
@@ -178,30 +223,48 @@
 // knew of it: the lease of the start is one on the earlier clock, so that it lasts longer on the
 // next one, which starts anew.
 Test(returned_workers, a_start_sent_before_the_restart_is_known_holds_no_longer_lease) {
-  FleetFixture f(2);
-  f.fleet.work_of = [](const jobs::TaskId&) { return 20s; };
-  LateOrders orders(f.fleet, f.timer);
-  LeaderFixture leader(f.timer, f.fleet, f.log, 1, /*jobs_caught_up=*/true, &orders);
-  f.timer.advance(10s);
-  WorkerEntry other = f.fleet.at("w01").entry;
-  other.state = WorkerState::draining;
-  leader.scheduler->on_worker_updated(other);
-  orders.delay_next_poll("w00", 15s);
+  PairFixture f(20s);
+  f.timer.advance(9s);
+  f.orders.delay_next_poll("w00", 15s);
   f.fleet.restart("w00");
   f.timer.advance(400ms);
-  JobBuilder job(1);
-  job.step(1, 1'000);
-  leader.submit(job);
+  f.submit(1);
   f.timer.advance(100ms);
-  cr_assert_eq(f.fleet.starts, 1U);
-  orders.set_cut("w00", Cut::both);
-  other.state = WorkerState::ready;
-  leader.scheduler->on_worker_updated(other);
+  cr_assert_eq(f.worker.runs.size(), 1U);
+  f.orders.set_cut("w00", Cut::both);
+  f.set_other(WorkerState::ready);
   f.timer.advance(10s);
   cr_expect_eq(f.fleet.running(), 1U);
   cr_expect_eq(f.fleet.doubled, 0U, "%lu starts beside a live run", f.fleet.doubled);
 }
 
+// Guards against an end that is forgotten because of a poll that counts neither as answered nor as
+// unanswered: the registration of the next incarnation abandons it while it is under way.
+Test(returned_workers, an_end_is_not_forgotten_because_of_an_abandoned_poll) {
+  PairFixture f(500ms);
+  f.submit(1);
+  f.timer.advance(3s);
+  cr_assert(f.leader.state(1) == jobs::JobState::COMPLETED);
+  f.orders.delay_next_poll("w00", 2'400ms);
+  for (int i = 0; i < 1'000 && f.orders.awaits_poll_to_delay(); ++i) {
+    f.timer.advance(1ms);
+  }
+  cr_assert(!f.orders.awaits_poll_to_delay());
+  f.fleet.restart("w00");
+  f.orders.set_cut("w00", Cut::answers);
+  f.leader.scheduler->on_worker_updated(f.worker.entry);
+  f.submit(2);
+  f.timer.advance(100ms);
+  cr_assert_eq(f.worker.runs.size(), 1U);
+  f.timer.advance(2'500ms);  // the run ends, and the late poll arrives
+  f.orders.set_cut("w00", Cut::none);
+  f.timer.advance(20s);
+  cr_expect_eq(f.fleet.started_after_done, 0U, "%lu starts after a success",
+               f.fleet.started_after_done);
+  cr_expect_eq(f.fleet.doubled, 0U);
+  cr_expect(f.leader.state(2) == jobs::JobState::COMPLETED);
+}
+
 // Guards against tasks that run twice or not at all after series of returns, cuts and changes of
 // leader, while polls and stops are carried out late.
 Test(returned_workers, a_series_of_returns_with_late_polls_doubles_and_loses_nothing) {
