Share the draws and settings of the soaks

Cause: three soaks read numbers from the environment in the same way, and two draw chances and times in the same way.

Change: SoakDraws and environment_number of soak_draws_test.hpp replace them. Seeds give the same courses, since the draws are the same.

--- a/src/arbutusdale/sched/takeover_record_test.cpp
+++ b/src/arbutusdale/sched/takeover_record_test.cpp
@@ -5,11 +5,11 @@
 
 #include <chrono>
 #include <cstdint>
-#include <cstdlib>
 #include <iterator>
 #include <string>
 
 #include "crashing_task_fixture_test.hpp"
+#include "soak_draws_test.hpp"
 #include <criterion/criterion.h>
 
 using namespace arbutusdale;
@@ -149,18 +149,13 @@
   }
 };
 
-std::uint64_t variable(const char* name, std::uint64_t otherwise) {
-  const char* text = std::getenv(name);
-  return text == nullptr ? otherwise : std::strtoull(text, nullptr, 10);
-}
-
 }  // namespace
 
 // Guards against second runs after changes of leader of which a part of the last write is stored,
 // while runs fail and answers are lost.
 Test(takeover_record, writes_that_are_stored_in_part_double_nothing) {
-  const std::uint64_t first = variable("ARBUTUSDALE_TAKEOVER_FIRST_SEED", 1);
-  const std::uint64_t seeds = variable("ARBUTUSDALE_TAKEOVER_SEEDS", 20);
+  const std::uint64_t first = environment_number("ARBUTUSDALE_TAKEOVER_FIRST_SEED", 1);
+  const std::uint64_t seeds = environment_number("ARBUTUSDALE_TAKEOVER_SEEDS", 20);
   for (std::uint64_t seed = first; seed < first + seeds; ++seed) {
     RecordSoak soak(seed);
     std::uint32_t jobs = 100;
--- a/src/arbutusdale/sched/takeover_soak_test.cpp
+++ b/src/arbutusdale/sched/takeover_soak_test.cpp
@@ -6,11 +6,11 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdint>
-#include <cstdlib>
 #include <iterator>
 #include <string>
 
 #include "crashing_task_fixture_test.hpp"
+#include "soak_draws_test.hpp"
 #include <criterion/criterion.h>
 
 using namespace arbutusdale;
@@ -85,17 +85,12 @@
   }
 };
 
-std::uint64_t variable(const char* name, std::uint64_t otherwise) {
-  const char* text = std::getenv(name);
-  return text == nullptr ? otherwise : std::strtoull(text, nullptr, 10);
-}
-
 }  // namespace
 
 // Guards against a task that starts beside a live run which the new leader does not know.
 Test(takeover_fence, a_series_of_changes_of_leader_doubles_and_loses_nothing) {
-  const std::uint64_t first = variable("ARBUTUSDALE_TAKEOVER_FIRST_SEED", 1);
-  const std::uint64_t seeds = variable("ARBUTUSDALE_TAKEOVER_SEEDS", 20);
+  const std::uint64_t first = environment_number("ARBUTUSDALE_TAKEOVER_FIRST_SEED", 1);
+  const std::uint64_t seeds = environment_number("ARBUTUSDALE_TAKEOVER_SEEDS", 20);
   for (std::uint64_t seed = first; seed < first + seeds; ++seed) {
     TakeoverSoak soak(seed);
     std::uint32_t jobs = k_serving_jobs;
--- a/src/arbutusdale/sched/waiting_faults_test.hpp
+++ b/src/arbutusdale/sched/waiting_faults_test.hpp
@@ -14,26 +14,17 @@
 #include <vector>
 
 #include "sched_fixture_test.hpp"
+#include "soak_draws_test.hpp"
 #include "waiting_shapes_test.hpp"
 
 namespace arbutusdale::sched {
 
 inline constexpr std::uint64_t k_waiting_worker_cpu_millis = 16'000;
 
-/// Draws from the random numbers of one run.
-struct WaitingDraws {
-  Random random;
-
-  bool chance(double share) { return random_unit(random) < share; }
-  Duration ms(std::uint64_t least, std::uint64_t most) {
-    return std::chrono::milliseconds{least + random_index(random, most - least + 1)};
-  }
-};
-
 /// Injects overlapping faults into a fleet.
 class WaitingFaults {
  public:
-  WaitingFaults(const WaitingSoakShape& shape, WaitingDraws& draws, FleetFixture& fixture,
+  WaitingFaults(const WaitingSoakShape& shape, SoakDraws& draws, FleetFixture& fixture,
                 std::function<void()> lead)
       : m_shape(shape), m_draws(draws), m_fixture(fixture), m_lead(std::move(lead)) {}
 
@@ -181,7 +172,7 @@
   }
 
   const WaitingSoakShape& m_shape;
-  WaitingDraws& m_draws;
+  SoakDraws& m_draws;
   FleetFixture& m_fixture;
   std::function<void()> m_lead;  // puts another leader in the place of the present one
   TimePoint m_disturbed_until{};
--- a/src/arbutusdale/sched/waiting_soak_test.hpp
+++ b/src/arbutusdale/sched/waiting_soak_test.hpp
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "sched_fixture_test.hpp"
+#include "soak_draws_test.hpp"
 #include "waiting_calm_test.hpp"
 #include "waiting_faults_test.hpp"
 #include "waiting_shapes_test.hpp"
@@ -211,7 +212,7 @@
   }
 
   WaitingSoakShape m_shape;
-  WaitingDraws m_draws;
+  SoakDraws m_draws;
   FleetFixture m_fixture;
   WaitingFaults m_faults;
   WaitingWatch m_watch;
@@ -231,12 +232,8 @@
 
 /// The seeds that the environment chooses, or else these.
 inline WaitingSeeds chosen_seeds(WaitingSeeds otherwise) {
-  const auto variable = [](const char* name, std::uint64_t value) {
-    const char* text = std::getenv(name);
-    return text == nullptr ? value : std::strtoull(text, nullptr, 10);
-  };
-  return {variable("ARBUTUSDALE_WAITING_FIRST_SEED", otherwise.first),
-          variable("ARBUTUSDALE_WAITING_SEEDS", otherwise.count)};
+  return {environment_number("ARBUTUSDALE_WAITING_FIRST_SEED", otherwise.first),
+          environment_number("ARBUTUSDALE_WAITING_SEEDS", otherwise.count)};
 }
 
 /// When the soak looks for tasks that wait.
