--- a/src/arbutusdale/sched/late_orders_test.hpp
+++ b/src/arbutusdale/sched/late_orders_test.hpp
@@ -25,6 +25,8 @@
   double stops = 0;
 };
 
+/// The orders of all leaders to a fleet. Cuts and late orders leave the runs of a worker as they
+/// are.
 class LateOrders final : public WorkerOrders {
  public:
   LateOrders(FakeFleet& fleet, store::FakeTimer& timer, std::uint64_t seed = 1)
--- a/src/arbutusdale/sched/returned_workers_soak_test.hpp
+++ b/src/arbutusdale/sched/returned_workers_soak_test.hpp
@@ -204,7 +204,7 @@
 
 /// Plays all seeds. Each one must start no task twice and leave no job behind.
 inline void expect_no_harm_by_returned_workers(LateKinds late) {
-  constexpr std::uint64_t k_ci_seeds = 10;
+  constexpr std::uint64_t k_ci_seeds = 40;
   const std::uint64_t first = environment_number("ARBUTUSDALE_RETURNED_FIRST_SEED", 1);
   const std::uint64_t seeds = environment_number("ARBUTUSDALE_RETURNED_SEEDS", k_ci_seeds);
   std::size_t given_up = 0;
