Log which incarnation an unanswered poll or start was meant for

Change: poll_unanswered names the incarnation, the acknowledgement and the lease of a poll without an answer; ends_missing says that an incarnation does not list ends that this leader has not processed; run_unanswered and run_refused name the incarnation. No decision changes.

--- a/include/arbutusdale/observe/event_log.hpp
+++ b/include/arbutusdale/observe/event_log.hpp
@@ -42,6 +42,8 @@
   worker_crashed,
   worker_quarantined,
   worker_withheld,
+  poll_unanswered,
+  ends_missing,
   job_accepted,
   job_refused,
   job_unresolved,
--- a/include/arbutusdale/sched/scheduler.hpp
+++ b/include/arbutusdale/sched/scheduler.hpp
@@ -302,7 +302,8 @@
                       const tl::expected<OrderReply, OrderError>& reply);
   void note_late_start(const jobs::TaskId& id, std::uint32_t number, WorkerSlot worker,
                        TimePoint sent);
-  void on_start_error(Task& task, Run& run, Worker& worker, const OrderError& error);
+  void on_start_error(Task& task, Run& run, const WorkerEndpoint& endpoint,
+                      const OrderError& error);
   void stop_run(Task& task, Run& run, const char* reason);
   void send_stop(Task& task, Run& run);
   void restart_stop(Task& task, Run& run, const char* reason);
@@ -333,7 +334,8 @@
   void poll_for_unbegun_run(Worker& worker, const Run& run);
   void on_poll_reply(const PollContext& context, const tl::expected<PollReply, OrderError>& reply);
   void on_poll_error(Worker& worker, const PollContext& context, const OrderError& error);
-  static void note_unanswered_poll(Worker& worker);
+  void note_unanswered_poll(Worker& worker);
+  static void log_missing_ends(const Worker& worker, const EndedRun& next);
   static void abandon_poll(Worker& worker);
   void begin_incarnation(Worker& worker, std::uint64_t incarnation);
   void resolve_run_after_restart(Worker& worker, const RunRef& ref);
--- a/include/arbutusdale/sched/worker_table.hpp
+++ b/include/arbutusdale/sched/worker_table.hpp
@@ -46,6 +46,13 @@
   TimePoint sent_at{};
 };
 
+/// What a poll binds its worker to, possibly long after it was sent.
+struct BindingPoll {
+  TimePoint sent_at{};  // zero: neither a lease nor an acknowledgement
+  std::uint64_t acknowledged_through = 0;
+  bool extends_lease = false;
+};
+
 /// Room on a worker that is kept free for a lasting task, see room_reservation.hpp.
 struct RoomReservation {
   const Step* step = nullptr;  // null: none; it may be gone, and is compared only
@@ -74,13 +81,14 @@
   std::uint64_t poll_serial = 0;     // of the last poll sent or scheduled
   std::uint32_t unanswered_polls = 0;
   TimePoint last_answer{};
-  TimePoint binding_poll_at{};   // sending of the poll in flight, if it is one as noted below
+  BindingPoll poll_binds;        // the poll in flight
   TimePoint last_alive{};        // last answer of this incarnation to an order of any kind
   TimePoint silent_since{};      // first unanswered poll since the last answer
   std::string answered_address;  // at which this worker itself has answered
   bool has_ended = false;        // another incarnation has answered at that address
 
   std::uint64_t processed_through = 0;  // sequence of the last ended run processed
+  bool lists_all_ends = false;  // no leader has acknowledged ends of this incarnation before
   /// Sequence of the last ended run whose effect is stored; never above processed_through.
   std::uint64_t stored_through = 0;
 
--- a/src/arbutusdale/sched/scheduler_orders.cpp
+++ b/src/arbutusdale/sched/scheduler_orders.cpp
@@ -186,7 +186,7 @@
     return;
   }
   if (!reply) {
-    on_start_error(*task, *run, worker, reply.error());
+    on_start_error(*task, *run, endpoint, reply.error());
     return;
   }
   if (endpoint.incarnation == worker.entry.incarnation) {
@@ -224,7 +224,9 @@
   late = LateStart{worker, number, same_run ? earlier : earlier + 1, sent, awaited_since};
 }
 
-void Scheduler::on_start_error(Task& task, Run& run, Worker& worker, const OrderError& error) {
+void Scheduler::on_start_error(Task& task, Run& run, const WorkerEndpoint& endpoint,
+                               const OrderError& error) {
+  Worker& worker = m_workers.at(run.worker);
   // The answer to a repeated start proves nothing about the first one, which may have been carried
   // out or may still be.
   const bool unknown =
@@ -235,6 +237,7 @@
       .add("task", task.index)
       .add("run", run.number)
       .add("worker", worker.entry.id)
+      .add("incarnation", endpoint.incarnation)
       .add("reason", enum_name(k_failure_names, error.reason))
       .add("error", error.message)
       .write();
--- a/src/arbutusdale/sched/scheduler_polling.cpp
+++ b/src/arbutusdale/sched/scheduler_polling.cpp
@@ -109,7 +109,8 @@
   worker.poll_in_flight = true;
   // An order without a lease and an acknowledgement has no effect that outlives it.
   const bool binds = order.lease_until_ms.has_value() || order.acknowledged_through > 0;
-  worker.binding_poll_at = binds ? now : TimePoint{};
+  worker.poll_binds = BindingPoll{binds ? now : TimePoint{}, order.acknowledged_through,
+                                  order.lease_until_ms.has_value()};
   const PollContext context{worker.slot, ++worker.poll_serial, worker.entry.incarnation,
                             worker.entry.address, now};
   m_orders.poll(worker.endpoint(), order,
@@ -158,6 +159,7 @@
     if (end.sequence <= worker.processed_through) {
       continue;
     }
+    log_missing_ends(worker, end);
     worker.processed_through = end.sequence;
     m_unstored_workers.insert(worker.slot);
     apply_ended_run(worker, end);
@@ -199,9 +201,35 @@
 }
 
 void Scheduler::note_unanswered_poll(Worker& worker) {
-  if (worker.binding_poll_at != TimePoint{}) {
-    worker.note_unanswered_order(worker.entry.incarnation, worker.binding_poll_at);
+  const BindingPoll& poll = worker.poll_binds;
+  if (poll.sent_at == TimePoint{}) {
+    return;
   }
+  EventLine(Event::poll_unanswered)
+      .add("worker", worker.entry.id)
+      .add("incarnation", worker.entry.incarnation)
+      .add("acknowledged_through", poll.acknowledged_through)
+      .add("lease", poll.extends_lease ? 1 : 0)
+      .add_ms("sent_ms_ago", m_timer.now() - poll.sent_at)
+      .write();
+  worker.note_unanswered_order(worker.entry.incarnation, poll.sent_at);
+}
+
+// The numbers of an incarnation's ends rise by one. One that this leader has not processed and that
+// is not listed was forgotten because of an acknowledgement that was sent to an earlier
+// incarnation.
+void Scheduler::log_missing_ends(const Worker& worker, const EndedRun& next) {
+  const std::uint64_t expected = worker.processed_through + 1;
+  const bool is_known = worker.lists_all_ends || worker.processed_through > 0;
+  if (!is_known || next.sequence == expected) {
+    return;
+  }
+  EventLine(Event::ends_missing)
+      .add("worker", worker.entry.id)
+      .add("incarnation", worker.entry.incarnation)
+      .add("from", expected)
+      .add("through", next.sequence - 1)
+      .write();
 }
 
 // Ignores the reply to the poll in flight, so that the next one can be sent at once.
@@ -229,6 +257,7 @@
   worker.has_unwanted_runs = false;
   worker.processed_through = 0;
   worker.stored_through = 0;
+  worker.lists_all_ends = worker.last_answer != TimePoint{};
   abandon_poll(worker);
   worker.foreign_order_at = std::max(worker.foreign_order_at, worker.unanswered_order_at);
   worker.unanswered_order_at = TimePoint{};
