Refuse orders that were sent to a worker's earlier incarnation

Cause: a worker that is back under its old id takes calls that were meant for its earlier incarnation. A poll that was left unanswered then acknowledges ends 1 to N of the next one, before the leader has seen them: run and end are gone, and the task starts again.

Change: orders to a worker have a token of their own within the leader's term. It rises when the worker falls silent, is announced under another incarnation, or answers as one, so that an incarnation which has seen an order of its own refuses those of its predecessor. Starts wait for the reply to the first poll with the higher token, which is sent at once. A silent worker gets no acknowledgement. A refusal by such a token is no loss of the leadership. Nothing is withheld any more: the event worker_withheld and the exclusion "withheld" go.

Why it works: within one round trip after the first contact no earlier order has an effect, whatever its delay, and no store call or wait is added. What arrives before the first contact is still taken.

Three tests that expected withheld workers now expect starts on all of them at once, and late_poll_test has tasks on the returned worker itself, which the guard had kept away, and counts their starts.

--- a/include/arbutusdale/observe/event_log.hpp
+++ b/include/arbutusdale/observe/event_log.hpp
@@ -41,7 +41,6 @@
   worker_lost,
   worker_crashed,
   worker_quarantined,
-  worker_withheld,
   poll_unanswered,
   ends_missing,
   job_accepted,
--- a/include/arbutusdale/sched/placement.hpp
+++ b/include/arbutusdale/sched/placement.hpp
@@ -50,7 +50,6 @@
   service,       ///< the worker belongs to another service
   not_ready,     ///< it is draining or not registered
   unreachable,   ///< it has not answered lately, or the stored roster does not name it
-  withheld,      ///< an order to its earlier incarnation may still be carried out
   quarantined,   ///< runs have failed there in a row
   refused,       ///< it has just refused a start
   unanswered,    ///< as many starts as it may have at a time are in flight
@@ -75,7 +74,7 @@
 /// ordered there supersedes the late start, whereas a run elsewhere would be doubled by it after a
 /// restart of the worker. Ends when the task has waited for the worker for a while, when the worker
 /// has left or been silent for the longest lease, or, while it is ready, when it has left two runs
-/// unanswered or is withheld.
+/// unanswered.
 bool awaits_late_start(const PlacementView& view, const Task& task);
 
 /// True when the worker has the capacity for the task and meets its constraints. Ignores tickets.
--- a/include/arbutusdale/sched/scheduler.hpp
+++ b/include/arbutusdale/sched/scheduler.hpp
@@ -143,11 +143,18 @@
   struct PollContext {
     WorkerSlot slot = 0;
     std::uint64_t serial = 0;
-    std::uint64_t incarnation = 0;
     std::string address;
     TimePoint sent{};
   };
 
+  /// What the reply to a start is compared with.
+  struct SentStart {
+    WorkerEndpoint endpoint;
+    WorkerSlot worker = 0;
+    std::uint64_t fencing_token = 0;
+    TimePoint sent_at{};
+  };
+
   /// A run on a worker that has crashed.
   struct CrashVictim {
     Task* task = nullptr;
@@ -298,16 +305,17 @@
   void start_run(Task& task, Worker& worker, std::uint32_t number);
   void send_start(Task& task, Run& run);
   void send_recorded_starts(const std::vector<PendingStart>& starts);
-  void on_start_reply(const jobs::TaskId& id, std::uint32_t number, const WorkerEndpoint& worker,
+  void on_start_result(const jobs::TaskId& id, std::uint32_t number, const SentStart& sent,
+                       const tl::expected<OrderReply, OrderError>& reply);
+  void on_start_reply(const jobs::TaskId& id, std::uint32_t number, const SentStart& sent,
                       const tl::expected<OrderReply, OrderError>& reply);
   void note_late_start(const jobs::TaskId& id, std::uint32_t number, WorkerSlot worker,
                        TimePoint sent);
-  void on_start_error(Task& task, Run& run, const WorkerEndpoint& endpoint,
-                      const OrderError& error);
+  void on_start_error(Task& task, Run& run, const SentStart& sent, const OrderError& error);
   void stop_run(Task& task, Run& run, const char* reason);
   void send_stop(Task& task, Run& run);
   void restart_stop(Task& task, Run& run, const char* reason);
-  void on_stop_reply(const jobs::TaskId& id, std::uint32_t number, const WorkerEndpoint& worker,
+  void on_stop_reply(const RunOrder& order, const WorkerEndpoint& endpoint,
                      const tl::expected<OrderReply, OrderError>& reply);
   void stop_unwanted_run(Worker& worker, const jobs::TaskId& id, std::uint32_t number);
 
@@ -337,13 +345,15 @@
   void note_unanswered_poll(Worker& worker);
   static void log_missing_ends(const Worker& worker, const EndedRun& next);
   static void abandon_poll(Worker& worker);
-  void begin_incarnation(Worker& worker, std::uint64_t incarnation);
+  bool note_incarnation(Worker& worker, std::uint64_t incarnation);
+  void begin_incarnation(Worker& worker);
   void resolve_run_after_restart(Worker& worker, const RunRef& ref);
   void stop_late_starts(Worker& worker);
   void await_stop_of_late_start(Task& task, Worker& worker, std::uint32_t number);
-  void withhold_if_unreliable(Worker& worker);
-  void limit_withheld_workers();
-  [[nodiscard]] bool may_withhold_another(const std::string& service) const;
+  [[nodiscard]] std::uint64_t fencing_token(const Worker& worker) const {
+    return worker.fence.token(m_options.fencing_token);
+  }
+  void on_order_fenced(const WorkerEndpoint& endpoint, std::uint64_t token);
   void update_typical_speed();
   /// Time after which no known run of the worker is alive.
   [[nodiscard]] TimePoint leases_expire_at(const Worker& worker) const;
--- a/include/arbutusdale/sched/worker_lease.hpp
+++ b/include/arbutusdale/sched/worker_lease.hpp
@@ -25,6 +25,9 @@
   /// The same for a lease of the given length.
   std::optional<std::uint64_t> extend_by(TimePoint now, Duration lease);
 
+  /// The worker may hold a lease that was requested elsewhere until now.
+  void assume_longest(TimePoint now);
+
   /// Time after which all leases requested here have expired, on the leader's clock. Zero before
   /// the first request.
   [[nodiscard]] TimePoint expires_at() const { return m_expires_at; }
--- a/include/arbutusdale/sched/worker_table.hpp
+++ b/include/arbutusdale/sched/worker_table.hpp
@@ -8,12 +8,14 @@
 #include "arbutusdale/sched/suspect_limits.hpp"
 #include "arbutusdale/sched/task_table.hpp"
 #include "arbutusdale/sched/throttle_control.hpp"
+#include "arbutusdale/sched/worker_fence.hpp"
 #include "arbutusdale/sched/worker_lease.hpp"
 #include "arbutusdale/sched/worker_orders.hpp"
 
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -23,13 +25,6 @@
 /// An order without an answer is carried out within this time, if at all.
 inline constexpr Duration k_late_order_bound = std::chrono::seconds{20};
 
-/// Inverse of the largest share of a service's ready workers that get no starts because an order of
-/// their earlier incarnation may still be carried out. The others of a series of restarts get
-/// starts, so that the service stays usable. Their next incarnation may then still forget an end
-/// that was not processed or take a lease for longer than the leader knows, so that a task starts
-/// twice.
-inline constexpr std::size_t k_withheld_divisor = 4;
-
 /// A run of a task.
 struct RunRef {
   Task* task = nullptr;
@@ -46,9 +41,9 @@
   TimePoint sent_at{};
 };
 
-/// What a poll binds its worker to, possibly long after it was sent.
+/// A poll with a lease or an acknowledgement, which may take effect long after it was sent.
 struct BindingPoll {
-  TimePoint sent_at{};  // zero: neither a lease nor an acknowledgement
+  TimePoint sent_at{};
   std::uint64_t acknowledged_through = 0;
   bool extends_lease = false;
 };
@@ -72,6 +67,7 @@
   TimePoint may_exit_at{};                  // while draining: earliest time at which it exits
   std::uint64_t announced_incarnation = 0;  // newest one in a registration; not confirmed
   WorkerLease lease;
+  WorkerFence fence;
   bool has_answered = false;       // this incarnation has answered a poll of this leader
   bool needs_poll = false;         // a start was unanswered since the last answered poll
   bool has_unwanted_runs = false;  // runs that are not expected there are being stopped
@@ -81,14 +77,14 @@
   std::uint64_t poll_serial = 0;     // of the last poll sent or scheduled
   std::uint32_t unanswered_polls = 0;
   TimePoint last_answer{};
-  BindingPoll poll_binds;        // the poll in flight
+  std::optional<BindingPoll> binding_poll;  // the poll in flight, if it is one
   TimePoint last_alive{};        // last answer of this incarnation to an order of any kind
   TimePoint silent_since{};      // first unanswered poll since the last answer
   std::string answered_address;  // at which this worker itself has answered
   bool has_ended = false;        // another incarnation has answered at that address
 
   std::uint64_t processed_through = 0;  // sequence of the last ended run processed
-  bool lists_all_ends = false;  // no leader has acknowledged ends of this incarnation before
+  bool lists_all_ends = false;  // only this leader has acknowledged ends of this incarnation
   /// Sequence of the last ended run whose effect is stored; never above processed_through.
   std::uint64_t stored_through = 0;
 
@@ -98,16 +94,10 @@
   std::uint64_t shared_cpu_millis = 0;  // of these, by runs that share processors
   std::vector<RunRef> runs;
   std::vector<UnansweredStart> unanswered;  // since k_late_order_bound
-  /// Sending of the last poll or start without an answer that carries a lease or an
-  /// acknowledgement, to this incarnation and to earlier ones. Zero when there was none. A late
-  /// stop is harmless, since run numbers are never used again.
-  TimePoint unanswered_order_at{};
-  TimePoint foreign_order_at{};
-  TimePoint withheld_until{};  // gets no starts before, since its ends and leases are not reliable
-  std::vector<jobs::TaskId> lost_tasks;  // tasks with lost runs on this worker
-  std::uint32_t isolated_runs = 0;       // see Isolation
-  TimePoint last_start_at{};             // of any task
-  TimePoint reserved_until{};            // no starts but those of suspects before
+  std::vector<jobs::TaskId> lost_tasks;     // tasks with lost runs on this worker
+  std::uint32_t isolated_runs = 0;          // see Isolation
+  TimePoint last_start_at{};                // of any task
+  TimePoint reserved_until{};               // no starts but those of suspects before
   RoomReservation room;
 
   ThrottleControl throttle_control;
@@ -172,25 +162,11 @@
   /// True when it has left a start unanswered lately and has answered none since.
   [[nodiscard]] bool leaves_starts_unanswered(TimePoint now) const;
 
-  /// Remembers that a poll or start that was sent to `incarnation` at `sent_at` may still be
-  /// carried out. It must carry a lease or an acknowledgement.
-  void note_unanswered_order(std::uint64_t incarnation, TimePoint sent_at);
-  /// Time until which an order that was sent to an earlier incarnation may be carried out by this
-  /// one. In the past, or zero, when there is none.
-  [[nodiscard]] TimePoint foreign_orders_end_at() const;
-  [[nodiscard]] bool is_withheld(TimePoint now) const { return now < withheld_until; }
-
   void note_success();
   /// Returns true when the failures in a row start a quarantine.
   bool note_failure(TimePoint now);
 };
 
-/// Ready workers of a service, and how many of them are withheld.
-struct WithheldCount {
-  std::size_t ready = 0;
-  std::size_t withheld = 0;
-};
-
 /// All workers known to the leader. Workers are never removed.
 class WorkerTable {
  public:
@@ -200,7 +176,6 @@
   [[nodiscard]] Worker& at(WorkerSlot slot) { return *m_workers.at(slot); }
   [[nodiscard]] const Worker& at(WorkerSlot slot) const { return *m_workers.at(slot); }
   [[nodiscard]] const std::vector<std::unique_ptr<Worker>>& all() const { return m_workers; }
-  [[nodiscard]] WithheldCount count_withheld(const std::string& service, TimePoint now) const;
   [[nodiscard]] IsolationCount count_isolating() const;
   [[nodiscard]] std::size_t count_registered() const;
 
--- a/src/arbutusdale/fleet/late_poll_test.cpp
+++ b/src/arbutusdale/fleet/late_poll_test.cpp
@@ -14,6 +14,8 @@
 
 /// A cluster of four workers, of which w0 is restarted while a poll of it is unanswered.
 struct LatePoll : Cluster {
+  static constexpr std::uint32_t k_half = 16;  // tasks, of 32 for which the workers have room
+
   WorkerPath& path() { return daemons[leader()]->orders.path("w0"); }
 
   void restart_before_late_poll(Duration late_by) {
@@ -25,9 +27,17 @@
     timer.advance(1s);
   }
 
-  /// The only task of the job runs exactly once, wherever that is.
-  void expect_one_run(std::uint32_t job, std::uint64_t starts_before) {
-    cr_expect_eq(fleet.starts, starts_before + 1);
+  /// Submits a job that leaves room on the other workers for the tasks that w0 has.
+  void submit_half(std::uint32_t job) {
+    submit(leader(), job, k_half);
+    timer.advance(300ms);
+    cr_assert_eq(fleet.running(), k_half);
+    cr_assert(!fleet.at("w0").runs.empty());
+  }
+
+  /// The tasks of the job have run, and no run but `lapsed` ones was in vain.
+  void expect_runs(std::uint32_t job, std::uint64_t starts_before, std::size_t lapsed) {
+    cr_expect_eq(fleet.starts, starts_before + k_half + lapsed);
     cr_expect_eq(fleet.doubled, 0U);
     cr_expect_eq(fleet.started_after_done, 0U);
     cr_expect(state(leader(), job) == jobs::JobState::COMPLETED);
@@ -53,15 +63,12 @@
   cluster.timer.advance(1500ms);
   cluster.restart_before_late_poll(4s);
   const std::uint64_t starts = cluster.fleet.starts;
-  cluster.submit(cluster.leader(), 2, 1);
-  cluster.timer.advance(300ms);
-  cr_assert_eq(cluster.fleet.running(), 1U);
+  cluster.submit_half(2);
   cluster.path().fault = PathFault::silent;
   cluster.timer.advance(3500ms);
   cluster.path().fault = PathFault::none;
   cluster.timer.advance(4s);
-  cluster.expect_one_run(2, starts);
-  cluster.timer.advance(20s);
+  cluster.expect_runs(2, starts, 0);
   cr_assert(cluster.uses_w0(3));
 }
 
@@ -75,21 +82,21 @@
   cluster.timer.advance(2500ms);
   cluster.restart_before_late_poll(6s);
   const std::uint64_t starts = cluster.fleet.starts;
-  cluster.submit(cluster.leader(), 1, 1);
-  cluster.timer.advance(300ms);
-  cr_assert_eq(cluster.fleet.running(), 1U);
+  cluster.submit_half(1);
+  const std::size_t on_w0 = cluster.fleet.at("w0").runs.size();
   cluster.path().fault = PathFault::silent;
   cluster.timer.advance(8s);
   cr_assert_eq(cluster.fleet.doubled, 0U);
+  cr_assert(cluster.fleet.at("w0").runs.empty());
   cluster.path().fault = PathFault::none;
-  cluster.timer.advance(14s);
-  cluster.expect_one_run(1, starts);
+  cluster.timer.advance(24s);
+  cluster.expect_runs(1, starts, on_w0);
   cr_assert(cluster.uses_w0(2));
 }
 
-// Guards against a fleet that gets no starts after a series of restarts: at most a quarter of the
-// workers is withheld at a time.
-Test(node, at_most_a_quarter_of_the_workers_is_withheld_after_restarts) {
+// Guards against a fleet whose workers get no starts after all of them have restarted while polls
+// of them were unanswered.
+Test(node, all_workers_get_starts_after_restarts) {
   Cluster cluster(3, {}, 12);
   cluster.timer.advance(1s);
   auto& orders = cluster.daemons[cluster.leader()]->orders;
@@ -110,5 +117,7 @@
   cluster.fleet.work_of = [](const jobs::TaskId&) { return 60s; };
   cluster.submit(cluster.leader(), 1, 96);
   cluster.timer.advance(1s);
-  cr_assert_eq(idle(), 3, "%d of 12 workers are idle", static_cast<int>(idle()));
+  cr_assert_eq(idle(), 0, "%d of 12 workers are idle", static_cast<int>(idle()));
+  cr_assert_eq(cluster.fleet.doubled, 0U);
+  cr_assert_eq(cluster.fleet.started_after_done, 0U);
 }
--- a/src/arbutusdale/sched/fake_fleet_test.hpp
+++ b/src/arbutusdale/sched/fake_fleet_test.hpp
@@ -244,6 +244,10 @@
 
   void throttle(const WorkerEndpoint& to, const ThrottleOrder& order, Done done) override {
     deliver<OrderReply>(to, std::move(done), [this, order](FakeWorker& worker, const auto& answer) {
+      if (fenced(worker, order.run.fencing_token)) {
+        answer(tl::unexpected(OrderError{OrderFailure::fenced, clock_of(worker), "fence"}));
+        return;
+      }
       for (FakeRun& run : worker.runs) {
         if (run.task == order.run.task && run.number == order.run.run) {
           run.throttle_percent = order.percent;
--- a/src/arbutusdale/sched/placement.cpp
+++ b/src/arbutusdale/sched/placement.cpp
@@ -126,9 +126,6 @@
   if (worker.has_unwanted_runs) {
     return Exclusion::unwanted_run;
   }
-  if (worker.is_withheld(now)) {
-    return Exclusion::withheld;
-  }
   if (now < worker.quarantined_until) {
     return Exclusion::quarantined;
   }
@@ -252,7 +249,7 @@
   if (worker.entry.state == WorkerState::draining) {
     return true;
   }
-  return late.unanswered_runs < k_max_unanswered_runs && !worker.is_withheld(view.now);
+  return late.unanswered_runs < k_max_unanswered_runs;
 }
 
 bool can_host(const PlacementView& view, const Worker& worker, const Task& task) {
--- a/src/arbutusdale/sched/restarted_worker_test.cpp
+++ b/src/arbutusdale/sched/restarted_worker_test.cpp
@@ -233,9 +233,8 @@
   }
 }
 
-// Guards against a worker that is withheld although no order to its earlier incarnation is
-// unanswered.
-Test(restarted_worker, a_restart_between_two_polls_withholds_nothing) {
+// Guards against a worker that gets no starts after a restart between two polls.
+Test(restarted_worker, a_restart_between_two_polls_delays_no_start) {
   FleetFixture f(4);
   LeaderFixture leader(f.timer, f.fleet, f.log);
   f.timer.advance(1s);
@@ -255,9 +254,9 @@
   cr_assert(!f.fleet.at(id).runs.empty());
 }
 
-// Guards against withheld workers that have become too large a share of the service, since others
-// have left.
-Test(restarted_worker, is_no_longer_withheld_when_too_few_others_are_left) {
+// Guards against workers that get no starts for many seconds after a restart, since orders to their
+// earlier incarnations have no answer.
+Test(restarted_worker, gets_starts_at_once_though_earlier_orders_are_unanswered) {
   FleetFixture f(8);
   LeaderFixture leader(f.timer, f.fleet, f.log);
   f.timer.advance(1s);
@@ -269,15 +268,16 @@
     f.fleet.restart(id);
     f.fleet.at(id).drops_answers = false;
   }
-  f.timer.advance(2s);
-  const auto& workers = leader.scheduler->workers();
-  cr_assert_eq(workers.count_withheld("service", f.timer.now()).withheld, 2U);
-  for (const char* id : {"w02", "w03", "w04", "w05"}) {
-    leader.scheduler->on_worker_gone(id);
+  f.timer.advance(500ms);
+  JobBuilder job(1);
+  job.step(64, 1'000);
+  leader.submit(job);
+  f.timer.advance(500ms);
+  for (const auto& [id, worker] : f.fleet.all()) {
+    cr_expect(!worker->runs.empty(), "%s", id.c_str());
   }
-  f.timer.advance(200ms);
-  cr_assert_eq(workers.count_withheld("service", f.timer.now()).ready, 4U);
-  cr_assert_eq(workers.count_withheld("service", f.timer.now()).withheld, 1U);
+  cr_expect_eq(f.fleet.doubled, 0U);
+  cr_expect_eq(f.fleet.started_after_done, 0U);
 }
 
 // Guards against a second run of a task whose worker restarts between the stop order and the late
--- a/src/arbutusdale/sched/scheduler.cpp
+++ b/src/arbutusdale/sched/scheduler.cpp
@@ -337,10 +337,13 @@
         .add("remaining_ms", entry.remaining_ms)
         .write();
   }
-  if (may_have_restarted && worker.poll_in_flight) {
-    note_unanswered_poll(worker);
-    abandon_poll(worker);
-    ++worker.unanswered_polls;
+  if (may_have_restarted) {
+    if (worker.poll_in_flight) {
+      note_unanswered_poll(worker);
+      abandon_poll(worker);
+    }
+    ++worker.unanswered_polls;  // the next poll acknowledges nothing and extends no lease
+    worker.fence.raise();
   }
   if (added || may_have_restarted) {
     schedule_poll(worker, Duration::zero());
@@ -399,7 +402,6 @@
 }
 
 void Scheduler::tick() {
-  limit_withheld_workers();
   for (const auto& worker : m_workers.all()) {
     check_lease(*worker);
     if (worker->entry.state == WorkerState::draining) {
--- a/src/arbutusdale/sched/scheduler_orders.cpp
+++ b/src/arbutusdale/sched/scheduler_orders.cpp
@@ -132,41 +132,43 @@
   order.payload = job.spec().payload();
   // A start that arrives late is refused; the lease of a started run is renewed by polls.
   order.lease_until_ms = worker.lease.extend_by(m_timer.now(), k_start_lease).value_or(0);
-  order.fencing_token = m_options.fencing_token;
+  order.fencing_token = fencing_token(worker);
   order.checkpoint = run.checkpoint;
   if (const std::string* ticket = m_tickets.find(*task.step, worker, m_timer.now())) {
     order.ticket = *ticket;
   }
-  const WorkerEndpoint endpoint = worker.endpoint();
   ++m_starts_in_flight;
   worker.note_start_sent(m_timer.now());
-  const TimePoint sent = m_timer.now();
-  m_orders.start(endpoint, order,
-                 [this, alive = m_alive, id = order.task, number = run.number, endpoint,
-                  slot = run.worker, sent](const tl::expected<OrderReply, OrderError>& reply) {
+  const SentStart sent{worker.endpoint(), run.worker, order.fencing_token, m_timer.now()};
+  m_orders.start(sent.endpoint, order,
+                 [this, alive = m_alive, id = order.task, number = run.number,
+                  sent](const tl::expected<OrderReply, OrderError>& reply) {
                    if (*alive) {
-                     const bool lost = !reply && reply.error().reason == OrderFailure::unknown;
-                     const StartResult result =
-                         lost ? StartResult::unanswered : StartResult::answered;
-                     release_start_slot(m_workers.at(slot));
-                     m_workers.at(slot).note_start_result(result, m_timer.now());
-                     m_start_window.on_result(result, sent, m_timer.now());
-                     observe::record_timing(observe::Timing::start_call, m_timer.now() - sent);
-                     if (!reply && reply.error().reason == OrderFailure::unknown) {
-                       Worker& used = m_workers.at(slot);
-                       used.note_unanswered_start(id, number, sent);
-                       note_late_start(id, number, slot, sent);
-                       used.note_unanswered_order(endpoint.incarnation, sent);
-                       withhold_if_unreliable(used);
-                     }
-                     on_start_reply(id, number, endpoint, reply);
+                     on_start_result(id, number, sent, reply);
+                     on_start_reply(id, number, sent, reply);
                      process_pending();
                    }
                  });
 }
 
-void Scheduler::on_start_reply(const jobs::TaskId& id, std::uint32_t number,
-                               const WorkerEndpoint& endpoint,
+// Concerns the worker, whatever has become of the run.
+void Scheduler::on_start_result(const jobs::TaskId& id, std::uint32_t number, const SentStart& sent,
+                                const tl::expected<OrderReply, OrderError>& reply) {
+  const TimePoint now = m_timer.now();
+  Worker& worker = m_workers.at(sent.worker);
+  const bool is_lost = !reply && reply.error().reason == OrderFailure::unknown;
+  const StartResult result = is_lost ? StartResult::unanswered : StartResult::answered;
+  release_start_slot(worker);
+  worker.note_start_result(result, now);
+  m_start_window.on_result(result, sent.sent_at, now);
+  observe::record_timing(observe::Timing::start_call, now - sent.sent_at);
+  if (is_lost) {
+    worker.note_unanswered_start(id, number, sent.sent_at);
+    note_late_start(id, number, sent.worker, sent.sent_at);
+  }
+}
+
+void Scheduler::on_start_reply(const jobs::TaskId& id, std::uint32_t number, const SentStart& sent,
                                const tl::expected<OrderReply, OrderError>& reply) {
   Job* job = m_tasks.find(id.job);
   Task* task = job == nullptr ? nullptr : job->find_task(id);
@@ -186,10 +188,10 @@
     return;
   }
   if (!reply) {
-    on_start_error(*task, *run, endpoint, reply.error());
+    on_start_error(*task, *run, sent, reply.error());
     return;
   }
-  if (endpoint.incarnation == worker.entry.incarnation) {
+  if (sent.endpoint.incarnation == worker.entry.incarnation) {
     worker.lease.observe_clock(reply->clock_ms, m_timer.now());
     worker.last_alive = m_timer.now();
   }
@@ -224,20 +226,23 @@
   late = LateStart{worker, number, same_run ? earlier : earlier + 1, sent, awaited_since};
 }
 
-void Scheduler::on_start_error(Task& task, Run& run, const WorkerEndpoint& endpoint,
+void Scheduler::on_start_error(Task& task, Run& run, const SentStart& sent,
                                const OrderError& error) {
   Worker& worker = m_workers.at(run.worker);
+  if (error.reason == OrderFailure::fenced && sent.fencing_token == fencing_token(worker)) {
+    m_on_fenced();
+    return;
+  }
   // The answer to a repeated start proves nothing about the first one, which may have been carried
   // out or may still be.
-  const bool unknown =
-      error.reason == OrderFailure::unknown || (run.resent && error.reason != OrderFailure::fenced);
+  const bool unknown = error.reason == OrderFailure::unknown || run.resent;
   EventLine(unknown ? Event::run_unanswered : Event::run_refused)
       .add("job", task.step->job->id.view())
       .add("step", task.step->index)
       .add("task", task.index)
       .add("run", run.number)
       .add("worker", worker.entry.id)
-      .add("incarnation", endpoint.incarnation)
+      .add("incarnation", sent.endpoint.incarnation)
       .add("reason", enum_name(k_failure_names, error.reason))
       .add("error", error.message)
       .write();
@@ -247,9 +252,6 @@
     return;
   }
   switch (error.reason) {
-    case OrderFailure::fenced:
-      m_on_fenced();
-      return;
     case OrderFailure::unknown:
     case OrderFailure::no_capacity:
       worker.backoff_until = m_timer.now() + k_refusal_backoff;
@@ -270,6 +272,7 @@
     case OrderFailure::incarnation_mismatch:
       worker.has_answered = false;
       break;
+    case OrderFailure::fenced:  // by a later order to this worker
     case OrderFailure::superseded:
     case OrderFailure::lease_expired:
       break;
@@ -301,28 +304,27 @@
   }
   run.stop_in_flight = true;
   run.order_sent_at = now;
-  const WorkerEndpoint endpoint = m_workers.at(run.worker).endpoint();
+  const Worker& worker = m_workers.at(run.worker);
   const jobs::TaskId id = task.step->job->task_id(task);
-  m_orders.stop(endpoint, {id, run.number, m_options.fencing_token},
-                [this, alive = m_alive, id, number = run.number,
-                 endpoint](const tl::expected<OrderReply, OrderError>& reply) {
+  const RunOrder order{id, run.number, fencing_token(worker)};
+  m_orders.stop(worker.endpoint(), order,
+                [this, alive = m_alive, order,
+                 endpoint = worker.endpoint()](const tl::expected<OrderReply, OrderError>& reply) {
                   if (*alive) {
-                    on_stop_reply(id, number, endpoint, reply);
+                    on_stop_reply(order, endpoint, reply);
                     process_pending();
                   }
                 });
 }
 
-void Scheduler::on_stop_reply(const jobs::TaskId& id, std::uint32_t number,
-                              const WorkerEndpoint& endpoint,
+void Scheduler::on_stop_reply(const RunOrder& order, const WorkerEndpoint& endpoint,
                               const tl::expected<OrderReply, OrderError>& reply) {
   if (!reply && reply.error().reason == OrderFailure::fenced) {
-    m_on_fenced();
-    return;
+    on_order_fenced(endpoint, order.fencing_token);
   }
-  Job* job = m_tasks.find(id.job);
-  Task* task = job == nullptr ? nullptr : job->find_task(id);
-  Run* run = task == nullptr ? nullptr : task->find_run(number);
+  Job* job = m_tasks.find(order.task.job);
+  Task* task = job == nullptr ? nullptr : job->find_task(order.task);
+  Run* run = task == nullptr ? nullptr : task->find_run(order.run);
   if (run == nullptr) {
     return;
   }
@@ -340,6 +342,14 @@
   }
 }
 
+// A worker refuses an order also because it has seen a later one of this leader.
+void Scheduler::on_order_fenced(const WorkerEndpoint& endpoint, std::uint64_t token) {
+  const Worker* worker = m_workers.find(endpoint.id);
+  if (worker == nullptr || token == fencing_token(*worker)) {
+    m_on_fenced();
+  }
+}
+
 // The confirmation of an earlier incarnation does not bind the present one.
 void Scheduler::restart_stop(Task& task, Run& run, const char* reason) {
   run.stop_confirmed = false;
@@ -363,11 +373,13 @@
       .add("incarnation", worker.entry.incarnation)
       .add("reason", "it is not expected there")
       .write();
-  m_orders.stop(worker.endpoint(), {id, number, m_options.fencing_token},
-                [this, alive = m_alive](const tl::expected<OrderReply, OrderError>& reply) {
+  const RunOrder order{id, number, fencing_token(worker)};
+  m_orders.stop(worker.endpoint(), order,
+                [this, alive = m_alive, endpoint = worker.endpoint(),
+                 order](const tl::expected<OrderReply, OrderError>& reply) {
                   // The next poll of the worker repeats the order if it is still needed.
                   if (*alive && !reply && reply.error().reason == OrderFailure::fenced) {
-                    m_on_fenced();
+                    on_order_fenced(endpoint, order.fencing_token);
                   }
                 });
 }
--- a/src/arbutusdale/sched/scheduler_polling.cpp
+++ b/src/arbutusdale/sched/scheduler_polling.cpp
@@ -91,8 +91,12 @@
   }
   const TimePoint now = m_timer.now();
   PollOrder order;
-  order.fencing_token = m_options.fencing_token;
-  order.acknowledged_through = worker.stored_through;
+  order.fencing_token = fencing_token(worker);
+  // A worker that did not answer may have restarted, and its next incarnation has ends of the same
+  // numbers.
+  if (worker.unanswered_polls == 0) {
+    order.acknowledged_through = worker.stored_through;
+  }
   // A worker that did not answer gets no further lease, so that the end of its runs is known.
   if (worker.has_answered && worker.in_roster && worker.unanswered_polls == 0) {
     order.lease_until_ms = worker.lease.extend(now);
@@ -109,10 +113,12 @@
   worker.poll_in_flight = true;
   // An order without a lease and an acknowledgement has no effect that outlives it.
   const bool binds = order.lease_until_ms.has_value() || order.acknowledged_through > 0;
-  worker.poll_binds = BindingPoll{binds ? now : TimePoint{}, order.acknowledged_through,
-                                  order.lease_until_ms.has_value()};
-  const PollContext context{worker.slot, ++worker.poll_serial, worker.entry.incarnation,
-                            worker.entry.address, now};
+  worker.binding_poll.reset();
+  if (binds) {
+    worker.binding_poll =
+        BindingPoll{now, order.acknowledged_through, order.lease_until_ms.has_value()};
+  }
+  const PollContext context{worker.slot, ++worker.poll_serial, worker.entry.address, now};
   m_orders.poll(worker.endpoint(), order,
                 [this, alive = m_alive, context](const tl::expected<PollReply, OrderError>& reply) {
                   if (*alive) {
@@ -137,17 +143,18 @@
     return;
   }
   const TimePoint now = m_timer.now();
-  // A later incarnation may have an earlier birth, since the time of day can jump.
-  if (reply->incarnation != 0 && reply->incarnation != worker.entry.incarnation) {
-    begin_incarnation(worker, reply->incarnation);
-  } else if (worker.silent_since != TimePoint{}) {
+  const bool has_restarted = note_incarnation(worker, reply->incarnation);
+  if (!has_restarted && worker.silent_since != TimePoint{}) {
     m_crash_rate.forget_silence(worker.entry.id, worker.silent_since);
   }
   worker.lease.observe_clock(reply->clock_ms, now);
   if (worker.unanswered_polls > 0 || !worker.has_answered) {
     m_place_due = true;
   }
-  const bool first = !std::exchange(worker.has_answered, true);
+  const bool first = !worker.has_answered;
+  // Orders to the earlier incarnation may still change what this one lists, until it has seen a
+  // later token, with the next poll.
+  worker.has_answered = !has_restarted;
   m_roster_check_due = m_roster_check_due || first;
   worker.unanswered_polls = 0;
   worker.needs_poll = false;
@@ -191,6 +198,7 @@
     return;
   }
   if (worker.unanswered_polls++ == 0) {
+    worker.fence.raise();
     EventLine(Event::worker_lost)
         .add("worker", worker.entry.id)
         .add("error", error.message)
@@ -201,10 +209,10 @@
 }
 
 void Scheduler::note_unanswered_poll(Worker& worker) {
-  const BindingPoll& poll = worker.poll_binds;
-  if (poll.sent_at == TimePoint{}) {
+  if (!worker.binding_poll) {
     return;
   }
+  const BindingPoll& poll = *worker.binding_poll;
   EventLine(Event::poll_unanswered)
       .add("worker", worker.entry.id)
       .add("incarnation", worker.entry.incarnation)
@@ -212,7 +220,6 @@
       .add("lease", poll.extends_lease ? 1 : 0)
       .add_ms("sent_ms_ago", m_timer.now() - poll.sent_at)
       .write();
-  worker.note_unanswered_order(worker.entry.incarnation, poll.sent_at);
 }
 
 // The numbers of an incarnation's ends rise by one. One that this leader has not processed and that
@@ -238,32 +245,40 @@
   ++worker.poll_serial;
 }
 
+// Returns true when the worker is known to have restarted. A later incarnation may have an earlier
+// birth, since the time of day can jump. Zero: the reply does not name it.
+bool Scheduler::note_incarnation(Worker& worker, std::uint64_t incarnation) {
+  if (incarnation == 0 || incarnation == worker.entry.incarnation) {
+    return false;
+  }
+  const std::uint64_t earlier = std::exchange(worker.entry.incarnation, incarnation);
+  if (earlier == 0) {
+    return false;
+  }
+  begin_incarnation(worker);
+  return true;
+}
+
 // All runs of the earlier incarnation have ended. Only the worker itself tells that it has
 // restarted: a registration may be another writer's, and its runs would be started twice.
-void Scheduler::begin_incarnation(Worker& worker, std::uint64_t incarnation) {
-  const bool known = worker.entry.incarnation != 0;
-  worker.entry.incarnation = incarnation;
-  if (!known) {
-    return;
-  }
+void Scheduler::begin_incarnation(Worker& worker) {
+  worker.fence.raise();
   EventLine(Event::worker_changed)
       .add("worker", worker.entry.id)
-      .add("incarnation", incarnation)
+      .add("incarnation", worker.entry.incarnation)
+      .add("token", fencing_token(worker))
       .add("runs", worker.runs.size())
       .write();
   const std::vector<CrashVictim> victims = crash_victims(worker);
   worker.lease = WorkerLease{};
+  worker.lease.assume_longest(m_timer.now());
   worker.has_answered = false;
   worker.has_unwanted_runs = false;
   worker.processed_through = 0;
   worker.stored_through = 0;
   worker.lists_all_ends = worker.last_answer != TimePoint{};
   abandon_poll(worker);
-  worker.foreign_order_at = std::max(worker.foreign_order_at, worker.unanswered_order_at);
-  worker.unanswered_order_at = TimePoint{};
   worker.unanswered_starts = 0;
-  worker.withheld_until = TimePoint{};
-  withhold_if_unreliable(worker);
   for (const RunRef& ref : std::vector<RunRef>(worker.runs)) {
     resolve_run_after_restart(worker, ref);
   }
@@ -271,42 +286,6 @@
   record_crashes(worker, victims, "it has restarted");
 }
 
-// What a worker lists of ended runs, and its lease, may be the effect of an order that was sent to
-// an earlier incarnation, as long as such an order may be carried out.
-void Scheduler::withhold_if_unreliable(Worker& worker) {
-  const TimePoint until = worker.foreign_orders_end_at();
-  const bool is_new = !worker.is_withheld(m_timer.now());
-  if (until <= m_timer.now() || until == worker.withheld_until ||
-      (is_new && !may_withhold_another(worker.entry.service))) {
-    return;
-  }
-  worker.withheld_until = until;
-  EventLine(Event::worker_withheld)
-      .add("worker", worker.entry.id)
-      .add("incarnation", worker.entry.incarnation)
-      .add("reason", "an order to its earlier incarnation is unanswered")
-      .add_ms("for_ms", until - m_timer.now())
-      .write();
-}
-
-bool Scheduler::may_withhold_another(const std::string& service) const {
-  const auto [ready, withheld] = m_workers.count_withheld(service, m_timer.now());
-  return (withheld + 1) * k_withheld_divisor <= ready;
-}
-
-// Workers that have left since may have made the withheld ones too large a share.
-void Scheduler::limit_withheld_workers() {
-  for (const auto& worker : m_workers.all()) {
-    if (!worker->is_withheld(m_timer.now())) {
-      continue;
-    }
-    const auto [ready, withheld] = m_workers.count_withheld(worker->entry.service, m_timer.now());
-    if (withheld * k_withheld_divisor > ready) {
-      worker->withheld_until = TimePoint{};
-    }
-  }
-}
-
 // A run has ended with the earlier incarnation if it had begun there and no order is outstanding
 // that could start it again.
 void Scheduler::resolve_run_after_restart(Worker& worker, const RunRef& ref) {
--- a/src/arbutusdale/sched/scheduler_throttling.cpp
+++ b/src/arbutusdale/sched/scheduler_throttling.cpp
@@ -111,25 +111,24 @@
            static_cast<std::uint64_t>(worker.throttle_control.tail_ratio() * k_percent))
       .add("progress_percent", run.progress_percent)
       .write();
-  const ThrottleOrder order{{id, run.number, m_options.fencing_token}, run.throttle_percent};
-  m_orders.throttle(worker.endpoint(), order,
-                    [this, alive = m_alive, id, number = run.number,
-                     before](const tl::expected<OrderReply, OrderError>& reply) {
-                      if (!*alive || reply) {
-                        return;
-                      }
-                      if (reply.error().reason == OrderFailure::fenced) {
-                        m_on_fenced();
-                        return;
-                      }
-                      Job* job = m_tasks.find(id.job);
-                      Task* throttled_task = job == nullptr ? nullptr : job->find_task(id);
-                      Run* throttled =
-                          throttled_task == nullptr ? nullptr : throttled_task->find_run(number);
-                      if (throttled != nullptr) {
-                        throttled->throttle_percent = before;  // the next poll repeats the order
-                      }
-                    });
+  const ThrottleOrder order{{id, run.number, fencing_token(worker)}, run.throttle_percent};
+  m_orders.throttle(
+      worker.endpoint(), order,
+      [this, alive = m_alive, id, number = run.number, before, endpoint = worker.endpoint(),
+       token = order.run.fencing_token](const tl::expected<OrderReply, OrderError>& reply) {
+        if (!*alive || reply) {
+          return;
+        }
+        if (reply.error().reason == OrderFailure::fenced) {
+          on_order_fenced(endpoint, token);
+        }
+        Job* job = m_tasks.find(id.job);
+        Task* throttled_task = job == nullptr ? nullptr : job->find_task(id);
+        Run* throttled = throttled_task == nullptr ? nullptr : throttled_task->find_run(number);
+        if (throttled != nullptr) {
+          throttled->throttle_percent = before;  // the next poll repeats the order
+        }
+      });
 }
 
 void Scheduler::log_opportunistic_work() {
--- a/src/arbutusdale/sched/scheduler_waiting.cpp
+++ b/src/arbutusdale/sched/scheduler_waiting.cpp
@@ -24,13 +24,12 @@
 // After a takeover, tasks that run count as waiting until their workers have answered.
 constexpr Duration k_adoption_time = std::chrono::milliseconds{500};
 
-constexpr EnumNames<Exclusion, 18> k_exclusion_names{{
+constexpr EnumNames<Exclusion, 17> k_exclusion_names{{
     {Exclusion::none, "none"},
     {Exclusion::late_start, "late_start"},
     {Exclusion::service, "service"},
     {Exclusion::not_ready, "not_ready"},
     {Exclusion::unreachable, "unreachable"},
-    {Exclusion::withheld, "withheld"},
     {Exclusion::quarantined, "quarantined"},
     {Exclusion::refused, "refused"},
     {Exclusion::unanswered, "unanswered"},
@@ -59,7 +58,7 @@
     {StartDelay::jobs_outdated, "jobs_outdated"},
 }};
 
-/// Number of workers by the reason that excludes them, such as "capacity:40,withheld:2".
+/// Number of workers by the reason that excludes them, such as "capacity:40,silent:2".
 std::string count_exclusions(const PlacementView& view, const Task& task) {
   std::map<Exclusion, std::size_t> counts;
   for (const auto& worker : view.workers.all()) {
--- a/src/arbutusdale/sched/waiting_known_red.cpp
+++ b/src/arbutusdale/sched/waiting_known_red.cpp
@@ -19,7 +19,7 @@
   expect_no_task_waits(wide_shape(), {.first = 2'600'133, .count = 6});
 }
 
-// Guards against a job that withheld, quarantined and disturbed workers together leave no worker.
+// Guards against a job that quarantined and disturbed workers together leave no worker.
 Test(waiting, no_task_waits_since_the_guards_together_exclude_all_workers) {
   expect_no_task_waits(wide_shape(), {.first = 2'600'012, .count = 1});
 }
@@ -35,7 +35,7 @@
 }
 
 // Guards against a job that waits for workers which tasks crash after some seconds, while others
-// are withheld, silent, or kept for suspects.
+// are silent, or kept for suspects.
 Test(waiting, no_task_waits_behind_a_task_that_crashes_workers_after_seconds) {
   expect_no_task_waits(late_shape(), {.first = 18, .count = 1});
 }
--- a/src/arbutusdale/sched/worker_lease.cpp
+++ b/src/arbutusdale/sched/worker_lease.cpp
@@ -28,4 +28,9 @@
   return *m_clock_ms + to_ms(until);
 }
 
+void WorkerLease::assume_longest(TimePoint now) {
+  const auto longest = std::chrono::duration_cast<Duration>(k_max_lease * (1 + k_clock_drift));
+  m_expires_at = std::max(m_expires_at, now + longest);
+}
+
 }  // namespace arbutusdale::sched
--- a/src/arbutusdale/sched/worker_table.cpp
+++ b/src/arbutusdale/sched/worker_table.cpp
@@ -155,15 +155,6 @@
   return unanswered_starts > 0 && now - start_unanswered_at < k_unanswered_penalty_time;
 }
 
-void Worker::note_unanswered_order(std::uint64_t incarnation, TimePoint sent_at) {
-  TimePoint& last = incarnation == entry.incarnation ? unanswered_order_at : foreign_order_at;
-  last = std::max(last, sent_at);
-}
-
-TimePoint Worker::foreign_orders_end_at() const {
-  return foreign_order_at == TimePoint{} ? TimePoint{} : foreign_order_at + k_late_order_bound;
-}
-
 void Worker::note_success() {
   failures_in_row = 0;
   quarantines = 0;
@@ -189,20 +180,6 @@
   return *m_workers[found->second];
 }
 
-WithheldCount WorkerTable::count_withheld(const std::string& service, TimePoint now) const {
-  WithheldCount count;
-  for (const auto& worker : m_workers) {
-    const bool is_ready = worker->registered && worker->entry.state == WorkerState::ready &&
-                          worker->entry.service == service;
-    if (!is_ready) {
-      continue;
-    }
-    ++count.ready;
-    count.withheld += worker->is_withheld(now) ? 1 : 0;
-  }
-  return count;
-}
-
 IsolationCount WorkerTable::count_isolating() const {
   IsolationCount count;
   for (const auto& worker : m_workers) {
