Move a lasting run to make room for a lasting task that waits

A lasting task waits although its shard has room: what lasting tasks leave free lies on workers that run a task of its step already (AntiAffinity), and the others are full of lasting tasks, which never end.

When no worker is expected to have room for a lasting task, a run of another lasting step gives up its place to it, if that run has an expected room elsewhere. The room is kept on both workers. The job stays in its shard, so nothing changes for cancellations, terms or moves between shards.

Not covered: a shard that lasting tasks fill wholly, while another shard has room.

--- a/include/arbutusdale/sched/scheduler.hpp
+++ b/include/arbutusdale/sched/scheduler.hpp
@@ -262,6 +262,8 @@
   void update_scarcity();
   /// Reserves room for lasting tasks that have waited for a while.
   void reserve_room();
+  /// Moves a lasting run, if that makes room for one of the tasks in `waiting`.
+  void make_room(const std::vector<Task*>& waiting);
 
   // Log lines on tasks that wait, scheduler_waiting.cpp.
   /// How long the waiting task has had no run. For a lasting one over all leaders, as far as it is
--- a/include/arbutusdale/sched/worker_table.hpp
+++ b/include/arbutusdale/sched/worker_table.hpp
@@ -51,6 +51,7 @@
   const Step* step = nullptr;  // null: none; it may be gone, and is compared only
   Resources need;
   TimePoint reserved_at{};
+  TimePoint kept_until{};  // for a run that is being stopped elsewhere, and does not wait yet
 };
 
 /// Resources that a run of the step's tasks keeps other tasks from.
--- a/src/arbutusdale/sched/room_reservation.cpp
+++ b/src/arbutusdale/sched/room_reservation.cpp
@@ -18,11 +18,6 @@
 constexpr Duration k_search_interval = std::chrono::seconds{1};
 constexpr std::size_t k_max_searches = 16;  // an update
 
-/// True when the run does not keep its resources for good.
-bool ends_by_itself(const Run& run, const Step& step) {
-  return !step.spec->long_running() || step.job->ending || run.phase == RunPhase::stopping;
-}
-
 /// Expected time until the run ends. One that takes longer than estimated is expected to go on for
 /// as long as it has so far.
 Duration remaining_time(const Run& run, const Step& step, TimePoint now) {
@@ -52,23 +47,14 @@
   return ends;
 }
 
-/// True when room is all that the worker may lack for the task.
-bool lacks_only_room(const PlacementView& view, const Worker& worker, const Task& task) {
-  const Step& step = *task.step;
-  const Exclusion exclusion = exclusion_of(view, worker, task);
-  if (exclusion != Exclusion::capacity && exclusion != Exclusion::none) {
-    return false;
-  }
-  // Advice is asked for once there is room.
-  return !step.job->terms().advised() || view.tickets.find(step, worker, view.now) != nullptr ||
-         view.tickets.is_candidate(step, worker, view.now);
-}
-
 /// Tasks that need a reservation, by step.
 using Needs = std::unordered_map<const Step*, std::vector<Task*>>;
 
 /// Ends the reservation unless a task still needs it; takes that task out of `needs`.
 bool renew(const PlacementView& view, Worker& worker, Needs& needs) {
+  if (view.now < worker.room.kept_until) {
+    return true;
+  }
   const auto found = needs.find(worker.room.step);
   const bool is_needed = found != needs.end() && !found->second.empty() &&
                          view.now - worker.room.reserved_at < k_max_reservation_time;
@@ -80,28 +66,6 @@
   return true;
 }
 
-/// The worker where the task has room first. A second counts as much as the processors of a worker.
-std::optional<WorkerSlot> choose_room(const PlacementView& view, const Task& task) {
-  std::optional<WorkerSlot> best;
-  double best_cost = 0;
-  for (const auto& worker : view.workers.all()) {
-    if (worker->room.step != nullptr) {
-      continue;
-    }
-    const std::optional<Duration> wait = expected_room_wait(view, *worker, task);
-    if (!wait) {
-      continue;
-    }
-    const double cost =
-        std::chrono::duration<double>(*wait).count() + placement_cost(view, *worker, task);
-    if (!best || cost < best_cost) {
-      best = worker->slot;
-      best_cost = cost;
-    }
-  }
-  return best;
-}
-
 std::size_t max_reservations(const WorkerTable& workers) {
   const auto& all = workers.all();
   const auto registered =
@@ -112,6 +76,21 @@
 
 }  // namespace
 
+bool ends_by_itself(const Run& run, const Step& step) {
+  return !step.spec->long_running() || step.job->ending || run.phase == RunPhase::stopping;
+}
+
+bool lacks_only_room(const PlacementView& view, const Worker& worker, const Task& task) {
+  const Step& step = *task.step;
+  const Exclusion exclusion = exclusion_of(view, worker, task);
+  if (exclusion != Exclusion::capacity && exclusion != Exclusion::none) {
+    return false;
+  }
+  // Advice is asked for once there is room.
+  return !step.job->terms().advised() || view.tickets.find(step, worker, view.now) != nullptr ||
+         view.tickets.is_candidate(step, worker, view.now);
+}
+
 std::optional<Duration> expected_room_wait(const PlacementView& view, const Worker& worker,
                                            const Task& task) {
   if (!lacks_only_room(view, worker, task)) {
@@ -135,6 +114,28 @@
   return std::nullopt;
 }
 
+// A second counts as much as the processors of a worker.
+std::optional<WorkerSlot> choose_expected_room(const PlacementView& view, const Task& task) {
+  std::optional<WorkerSlot> best;
+  double best_cost = 0;
+  for (const auto& worker : view.workers.all()) {
+    if (worker->room.step != nullptr) {
+      continue;
+    }
+    const std::optional<Duration> wait = expected_room_wait(view, *worker, task);
+    if (!wait) {
+      continue;
+    }
+    const double cost =
+        std::chrono::duration<double>(*wait).count() + placement_cost(view, *worker, task);
+    if (!best || cost < best_cost) {
+      best = worker->slot;
+      best_cost = cost;
+    }
+  }
+  return best;
+}
+
 std::size_t count_expected_rooms(const PlacementView& view, const Task& task) {
   const auto& workers = view.workers.all();
   return static_cast<std::size_t>(std::count_if(
@@ -142,8 +143,9 @@
       [&](const auto& worker) { return expected_room_wait(view, *worker, task).has_value(); }));
 }
 
-void update_room_reservations(const PlacementView& view, WorkerTable& workers,
-                              const std::vector<Task*>& waiting) {
+std::vector<Task*> update_room_reservations(const PlacementView& view, WorkerTable& workers,
+                                            const std::vector<Task*>& waiting) {
+  std::vector<Task*> without_room;
   Needs needs;
   for (Task* task : waiting) {
     needs[task->step].push_back(task);
@@ -158,7 +160,7 @@
   std::size_t searches = 0;
   for (Task* task : waiting) {
     if (reserved >= limit || searches >= k_max_searches) {
-      return;
+      break;
     }
     Step& step = *task->step;
     const std::vector<Task*>& needing = needs[&step];
@@ -167,14 +169,16 @@
       continue;
     }
     ++searches;
-    const std::optional<WorkerSlot> slot = choose_room(view, *task);
+    const std::optional<WorkerSlot> slot = choose_expected_room(view, *task);
     if (!slot) {
       step.next_room_search_at = view.now + k_search_interval;
+      without_room.push_back(task);
       continue;
     }
-    workers.at(*slot).room = {&step, step.need, view.now};
+    workers.at(*slot).room = {&step, step.need, view.now, TimePoint{}};
     ++reserved;
   }
+  return without_room;
 }
 
 }  // namespace arbutusdale::sched
--- a/src/arbutusdale/sched/scheduler_placement.cpp
+++ b/src/arbutusdale/sched/scheduler_placement.cpp
@@ -1,6 +1,7 @@
 // Placement rounds: which waiting task is started on which worker.
 #include "arbutusdale/sched/placement.hpp"
 #include "arbutusdale/sched/placement_round.hpp"
+#include "arbutusdale/sched/room_move.hpp"
 #include "arbutusdale/sched/room_reservation.hpp"
 #include "arbutusdale/sched/scheduler.hpp"
 #include "arbutusdale/sched/takeover_fence.hpp"
@@ -26,6 +27,10 @@
 // A lasting task that has waited this long gets room reserved, so that it starts before its job
 // counts as stuck.
 constexpr Duration k_room_reservation_delay = std::chrono::seconds{1};
+// Searches for a run that makes room by moving compare all lasting runs, so a tick has few of them.
+constexpr std::size_t k_max_room_move_searches = 2;
+// Room for a run that moves is kept until its stop is confirmed and shorter tasks have ended there.
+constexpr Duration k_room_move_time = std::chrono::seconds{3};
 
 std::size_t count_overdue_starts(const WorkerTable& workers, TimePoint now) {
   std::size_t overdue = 0;
@@ -282,7 +287,28 @@
   std::stable_sort(waiting.begin(), waiting.end(), [](const Task* left, const Task* right) {
     return left->ready_at < right->ready_at;
   });
-  update_room_reservations(placement_view(), m_workers, waiting);
+  make_room(update_room_reservations(placement_view(), m_workers, waiting));
+}
+
+// One run moves at a time, so that each search sees where the one before has gone.
+void Scheduler::make_room(const std::vector<Task*>& waiting) {
+  if (!may_start() || !may_start_taken_over_jobs() || is_start_window_full()) {
+    return;
+  }
+  const TimePoint now = m_timer.now();
+  for (std::size_t i = 0; i < std::min(waiting.size(), k_max_room_move_searches); ++i) {
+    Step& step = *waiting[i]->step;
+    const std::optional<RoomMove> move = find_room_move(placement_view(), *waiting[i]);
+    if (!move) {
+      continue;
+    }
+    const Step& moved = *move->task->step;
+    m_workers.at(move->from).room = {&step, step.need, now, TimePoint{}};
+    m_workers.at(move->to).room = {&moved, moved.need, now, now + k_room_move_time};
+    stop_run(*move->task, *move->task->find_run(move->run), "it makes room for a lasting task");
+    step.next_room_search_at = now;  // for its other tasks
+    return;
+  }
 }
 
 bool Scheduler::place_task(Task& task, PlacementRound& round) {
