Move no lasting run of a step with a disruption budget

Room for a waiting lasting task is made by the move of a run whose step has runs of all its other tasks. A caller that sets a budget (MayMiss) also counts tasks that have a run and are not at work yet, so a second move right after a first one, or after a failed run, could exceed it.

Steps with a budget make no room. The test of one task at a time keeps its checks and has no budget any more, since its step would not move; moves_no_run_of_a_step_with_a_disruption_budget is new and fails before.

--- a/include/arbutusdale/sched/room_move.hpp
+++ b/include/arbutusdale/sched/room_move.hpp
@@ -21,8 +21,8 @@
 };
 
 /// The move of the smallest run that makes room for the waiting lasting task; empty if there is
-/// none. A run moves only while all other tasks of its step run, and only once it has run for a
-/// while.
+/// none. A run moves only while all other tasks of its step run, only once it has run for a while,
+/// and only if its step has no disruption budget.
 std::optional<RoomMove> find_room_move(const PlacementView& view, const Task& waiting);
 
 }  // namespace arbutusdale::sched
--- a/src/arbutusdale/sched/room_move.cpp
+++ b/src/arbutusdale/sched/room_move.cpp
@@ -16,18 +16,19 @@
 // Runs for which a place elsewhere is searched, from the smallest on.
 constexpr std::size_t k_max_searches = 8;
 
-bool is_at_work(const Task& task) {
+bool has_confirmed_run(const Task& task) {
   return task.runs.size() == 1 && task.runs.front().phase == RunPhase::running &&
          task.runs.front().listed;
 }
 
-/// True when a task of the step may lose its run for a moment. A caller may allow only some tasks
-/// of a step to be away, so none other may be.
+/// True when a task of the step may lose its run for a moment. A caller that sets a disruption
+/// budget also counts the tasks that have a run and are not at work yet, which is not known here.
 bool is_movable_step(const Step& step) {
   const auto& spec = *step.spec;
   const bool is_of_kind = spec.long_running() && !spec.gang() && !spec.opportunistic() &&
-                          !step.job->ending && !step.job->terms().advised();
-  return is_of_kind && std::all_of(step.tasks.begin(), step.tasks.end(), is_at_work);
+                          spec.disruption_budget() == 0 && !step.job->ending &&
+                          !step.job->terms().advised();
+  return is_of_kind && std::all_of(step.tasks.begin(), step.tasks.end(), has_confirmed_run);
 }
 
 bool has_run_for_long(const Task& task, TimePoint now) {
