Keep tasks that share a crash on different workers

Three tasks that crash their workers after 2 s were started on the same best fitting workers again and again.

A task now avoids workers that run a task of another job with which it shares a crash, if another worker fits. The cost is a preference, so no task waits for it. Members of one job may go on sharing a worker: the job fails whichever of them is given up.

--- a/src/arbutusdale/sched/given_up_task_test.cpp
+++ b/src/arbutusdale/sched/given_up_task_test.cpp
@@ -315,6 +315,25 @@
   expect_one_given_up(f, 90s);
 }
 
+// Guards against several tasks that crash workers after two seconds and start on the same workers
+// again and again: crashes that they share tell nothing of each, so that more workers crash before
+// all of them are given up.
+Test(crashing_task, several_that_crash_workers_after_two_seconds_are_given_up) {
+  CrashFixture f(16);
+  f.fleet.crash_delay = [](const jobs::TaskId&) { return 2s; };
+  f.lead();
+  f.timer.advance(1s);
+  for (std::uint32_t i = 0; i < 3; ++i) {
+    f.submit_deadly(k_deadly + i, 1);
+    f.submit(1 + i, 4);
+    f.timer.advance(700ms);
+  }
+  f.timer.advance(90s);
+  f.expect_given_up({k_deadly, k_deadly + 1, k_deadly + 2});
+  f.expect_completed(1, 3);
+  f.expect_nothing_doubled();
+}
+
 // Guards against ordinary jobs that wait for a deadly one, or for the workers that it has crashed.
 Test(crashing_task, holds_no_other_job_up_for_long) {
   CrashFixture f(4);
--- a/src/arbutusdale/sched/placement.cpp
+++ b/src/arbutusdale/sched/placement.cpp
@@ -13,6 +13,7 @@
 constexpr double k_slow_penalty = 4;
 constexpr double k_unanswered_penalty = 4;
 constexpr double k_mixing_penalty = 1;
+constexpr double k_ambiguous_crash_penalty = 3;
 // Share of the workers that serving tasks leave free for opportunistic ones while there is capacity
 // elsewhere, even beside serving tasks of other images.
 constexpr double k_reserved_workers_share = 0.1;
@@ -83,6 +84,27 @@
   return view.ignores_recent_starts || worker.is_quiet(view.now);
 }
 
+/// True when a worker has crashed under runs of both tasks.
+bool share_crash(const CrashHistory& first, const CrashHistory& second) {
+  const auto& others = second.runs();
+  return std::any_of(first.runs().begin(), first.runs().end(), [&others](const CrashedRun& run) {
+    return std::any_of(others.begin(), others.end(), [&run](const CrashedRun& other) {
+      return run.worker == other.worker && run.silent_at == other.silent_at;
+    });
+  });
+}
+
+/// True when the worker runs a task of another job that shares a crash with this one. If it crashed
+/// as well, it would still be unknown which of the two is the cause.
+bool would_crash_be_ambiguous(const Worker& worker, const Task& task) {
+  if (task.crashes.runs().empty()) {
+    return false;
+  }
+  return std::any_of(worker.runs.begin(), worker.runs.end(), [&task](const RunRef& run) {
+    return run.task->step->job != task.step->job && share_crash(task.crashes, run.task->crashes);
+  });
+}
+
 bool has_opportunistic_room(const PlacementView& view, const Worker& worker, const Step& step) {
   const OpportunisticRoom room = worker.opportunistic_room();
   const std::uint64_t need = step.need.cpu_millis;
@@ -225,6 +247,9 @@
   if (worker.leaves_starts_unanswered(view.now)) {
     cost += k_unanswered_penalty;
   }
+  if (would_crash_be_ambiguous(worker, task)) {
+    cost += k_ambiguous_crash_penalty;
+  }
   if (step.spec->opportunistic()) {
     return cost + image_cost(view, worker, step.image);
   }
