Assume the longest lease when a start reaches an incarnation that is not known yet

Callers could see a task run twice at once: a worker restarts, a start that was sent to its earlier incarnation is answered by the next one before the leader knows of it, and the worker is cut off. Cause: the lease of the start is a time on the earlier clock. The next one starts anew, so the worker holds the longest lease, 6 s, where the leader expects 2.5 s.

Change: a worker's clock never goes back within an incarnation. An answer to a start whose clock is behind the one that is known shows a restart; the longest lease is assumed from then on.

Not covered: such a start that gets no answer.

--- a/include/arbutusdale/sched/worker_lease.hpp
+++ b/include/arbutusdale/sched/worker_lease.hpp
@@ -19,6 +19,10 @@
   /// `clock_ms` is the worker's clock in an answer received at `now`.
   void observe_clock(std::uint64_t clock_ms, TimePoint now);
 
+  /// True when a worker whose clock shows `clock_ms` in the answer to an order sent at `sent` has
+  /// restarted since its clock was observed: the clock starts anew, and never goes back otherwise.
+  [[nodiscard]] bool is_reset(std::uint64_t clock_ms, TimePoint sent) const;
+
   /// End of the longest lease that an order sent now can request, in ms on the worker's clock.
   /// Empty while that clock is unknown. Records that the lease may be granted.
   std::optional<std::uint64_t> extend(TimePoint now) { return extend_by(now, k_max_lease); }
--- a/src/arbutusdale/sched/returned_workers_test.cpp
+++ b/src/arbutusdale/sched/returned_workers_test.cpp
@@ -94,6 +94,25 @@
   cr_expect_eq(f.fleet.doubled, 0U);
 }
 
+// Guards against a second run beside one that the next incarnation has started before the leader
+// knew of it: the lease of the start is one on the earlier clock, so that it lasts longer on the
+// next one, which starts anew.
+Test(returned_workers, a_start_sent_before_the_restart_is_known_holds_no_longer_lease) {
+  PairFixture f(20s);
+  f.timer.advance(9s);
+  f.orders.delay_next_poll("w00", 15s);
+  f.fleet.restart("w00");
+  f.timer.advance(400ms);
+  f.submit(1);
+  f.timer.advance(100ms);
+  cr_assert_eq(f.worker.runs.size(), 1U);
+  f.orders.set_cut("w00", Cut::both);
+  f.set_other(WorkerState::ready);
+  f.timer.advance(10s);
+  cr_expect_eq(f.fleet.running(), 1U);
+  cr_expect_eq(f.fleet.doubled, 0U, "%lu starts beside a live run", f.fleet.doubled);
+}
+
 // Guards against an end that is forgotten because of a poll that counts neither as answered nor as
 // unanswered: the registration of the next incarnation abandons it while it is under way.
 Test(returned_workers, an_end_is_not_forgotten_because_of_an_abandoned_poll) {
--- a/src/arbutusdale/sched/scheduler_orders.cpp
+++ b/src/arbutusdale/sched/scheduler_orders.cpp
@@ -162,6 +162,11 @@
   worker.note_start_result(result, now);
   m_start_window.on_result(result, sent.sent_at, now);
   observe::record_timing(observe::Timing::start_call, now - sent.sent_at);
+  // An incarnation that is not known yet has taken the start. Its clock starts anew, so that its
+  // lease is the longest one.
+  if (reply && worker.lease.is_reset(reply->clock_ms, sent.sent_at)) {
+    worker.lease.assume_longest(now);
+  }
   if (is_lost) {
     worker.note_unanswered_start(id, number, sent.sent_at);
     note_late_start(id, number, sent.worker, sent.sent_at);
@@ -191,7 +196,8 @@
     on_start_error(*task, *run, sent, reply.error());
     return;
   }
-  if (sent.endpoint.incarnation == worker.entry.incarnation) {
+  if (sent.endpoint.incarnation == worker.entry.incarnation &&
+      !worker.lease.is_reset(reply->clock_ms, sent.sent_at)) {
     worker.lease.observe_clock(reply->clock_ms, m_timer.now());
     worker.last_alive = m_timer.now();
   }
