--- a/include/arbutusdale/sched/scheduler.hpp
+++ b/include/arbutusdale/sched/scheduler.hpp
@@ -16,6 +16,7 @@
 #include "arbutusdale/sched/placement.hpp"
 #include "arbutusdale/sched/placement_round.hpp"
 #include "arbutusdale/sched/ready_queue.hpp"
+#include "arbutusdale/sched/sent_orders.hpp"
 #include "arbutusdale/sched/serving_affinity.hpp"
 #include "arbutusdale/sched/shard_room.hpp"
 #include "arbutusdale/sched/start_window.hpp"
@@ -140,21 +141,6 @@
   /// Whether a worker answers a poll at once or waits for a run to end.
   enum class PollWait : std::uint8_t { for_end, none };
 
-  struct PollContext {
-    WorkerSlot slot = 0;
-    std::uint64_t serial = 0;
-    std::string address;
-    TimePoint sent{};
-  };
-
-  /// What the reply to a start is compared with.
-  struct SentStart {
-    WorkerEndpoint endpoint;
-    WorkerSlot worker = 0;
-    std::uint64_t fencing_token = 0;
-    TimePoint sent_at{};
-  };
-
   /// A run on a worker that has crashed.
   struct CrashVictim {
     Task* task = nullptr;
@@ -342,8 +328,8 @@
   void poll_at_once(Worker& worker);
   /// Polls the worker a moment after it has confirmed the stop of a run that did not begin.
   void poll_for_unbegun_run(Worker& worker, const Run& run);
-  void on_poll_reply(const PollContext& context, const tl::expected<PollReply, OrderError>& reply);
-  void on_poll_error(Worker& worker, const PollContext& context, const OrderError& error);
+  void on_poll_reply(const SentPoll& context, const tl::expected<PollReply, OrderError>& reply);
+  void on_poll_error(Worker& worker, const SentPoll& context, const OrderError& error);
   void note_unanswered_poll(Worker& worker);
   static void log_missing_ends(const Worker& worker, const EndedRun& next);
   static void abandon_poll(Worker& worker);
@@ -391,7 +377,7 @@
   void record_failed_run(Task& task, Worker& worker, std::uint32_t number);
   void update_runs(Worker& worker, const PollReply& reply);
   void update_run(Worker& worker, const RunningTask& row);
-  void drop_missing_runs(Worker& worker, const PollReply& reply, const PollContext& context);
+  void drop_missing_runs(Worker& worker, const PollReply& reply, const SentPoll& context);
   void drop_run(Task& task, std::uint32_t number);
   void move_stragglers(Worker& worker);
   void presume_ended(const Worker& worker, const RunRef& ref, const char* reason);
--- a/src/arbutusdale/sched/scheduler_polling.cpp
+++ b/src/arbutusdale/sched/scheduler_polling.cpp
@@ -118,7 +118,7 @@
     worker.binding_poll =
         BindingPoll{now, order.acknowledged_through, order.lease_until_ms.has_value()};
   }
-  const PollContext context{worker.slot, ++worker.poll_serial, worker.entry.address, now};
+  const SentPoll context{worker.slot, ++worker.poll_serial, worker.entry.address, now};
   m_orders.poll(worker.endpoint(), order,
                 [this, alive = m_alive, context](const tl::expected<PollReply, OrderError>& reply) {
                   if (*alive) {
@@ -128,7 +128,7 @@
                 });
 }
 
-void Scheduler::on_poll_reply(const PollContext& context,
+void Scheduler::on_poll_reply(const SentPoll& context,
                               const tl::expected<PollReply, OrderError>& reply) {
   Worker& worker = m_workers.at(context.slot);
   if (worker.poll_serial != context.serial) {
@@ -181,7 +181,7 @@
   schedule_poll(worker, first ? Duration::zero() : pause);
 }
 
-void Scheduler::on_poll_error(Worker& worker, const PollContext& context, const OrderError& error) {
+void Scheduler::on_poll_error(Worker& worker, const SentPoll& context, const OrderError& error) {
   if (error.reason == OrderFailure::fenced) {
     m_on_fenced();
     return;
--- a/src/arbutusdale/sched/scheduler_runs.cpp
+++ b/src/arbutusdale/sched/scheduler_runs.cpp
@@ -207,8 +207,7 @@
 
 // A run that the worker does not list has ended, if the poll was sent after the last answer to an
 // order about the run.
-void Scheduler::drop_missing_runs(Worker& worker, const PollReply& reply,
-                                  const PollContext& context) {
+void Scheduler::drop_missing_runs(Worker& worker, const PollReply& reply, const SentPoll& context) {
   if (reply.ended.size() >= k_max_listed_ends) {
     return;  // the end may not be listed yet
   }
