Show a task that runs twice at once after a late start on a restarted worker

Cause: a task goes to another worker after two unanswered runs, though its late starts may be carried out for 20 s. Only the first order after a restart keeps the worker's next life from taking them, and a cut holds that order back.

Nothing is fixed.

--- /dev/null
+++ b/review/standin-3/scenarios.hpp
@@ -0,0 +1,10 @@
+// The cases that are scripts. Each returns its exit status.
+#pragma once
+
+#include "deployment.hpp"
+
+namespace review {
+
+int run_late_twice(const Options& options);
+
+}  // namespace review
