Show starts on a restarted worker that has become one of another kind

Cause: the reply to a poll tells that a worker has restarted under its id, and starts follow at once, while its labels stay those of its earlier life until its registration is read, up to 0.2 s later.

Nothing is fixed.

--- a/review/standin-3/scenarios.hpp
+++ b/review/standin-3/scenarios.hpp
@@ -5,6 +5,7 @@
 
 namespace review {
 
+int run_other_kind(const Options& options);
 int run_late_twice(const Options& options);
 
 }  // namespace review
