Show a gang whose failed run counts once for each member

Cause: record_failed_run() adds up the failed runs of all members of a gang, so that one run of the gang is as many attempts as members have ended failed in it.

Nothing is fixed.

--- a/review/standin-3/main.cpp
+++ b/review/standin-3/main.cpp
@@ -10,6 +10,7 @@
   static const std::map<std::string, int (*)(const Options&)> k_cases{
       {"late_twice", run_late_twice},
       {"other_kind", run_other_kind},
+      {"gang_failures", run_gang_failures},
   };
   const auto found = argc == 3 ? k_cases.find(argv[1]) : k_cases.end();
   if (found == k_cases.end()) {
