Show sound jobs that are given up in a series of crashes

Cause: a task is taken for the cause of crashes when their chance is below 1 in 1,000 for it alone. Among some thousand tasks that lose runs in a series of crashes some sound ones are, and their jobs end as failed.

Nothing is fixed. The queue has 10 attempts, more than the runs that any counted task has started.

--- a/review/standin-3/main.cpp
+++ b/review/standin-3/main.cpp
@@ -11,6 +11,7 @@
       {"late_twice", run_late_twice},
       {"other_kind", run_other_kind},
       {"gang_failures", run_gang_failures},
+      {"crash_series", run_crash_series},
   };
   const auto found = argc == 3 ? k_cases.find(argv[1]) : k_cases.end();
   if (found == k_cases.end()) {
