Show a job that nobody submitted, after its cancellation

Cause: JobService::cancel() stores a cancellation for any id, and the state of an entry that has only been cancelled is shown.

Nothing is fixed.

--- a/review/standin-3/main.cpp
+++ b/review/standin-3/main.cpp
@@ -8,10 +8,9 @@
 int main(int argc, char** argv) {
   using namespace review;
   static const std::map<std::string, int (*)(const Options&)> k_cases{
+      {"other_kind", run_other_kind},     {"gang_failures", run_gang_failures},
+      {"crash_series", run_crash_series}, {"unknown_job", run_unknown_job},
       {"late_twice", run_late_twice},
-      {"other_kind", run_other_kind},
-      {"gang_failures", run_gang_failures},
-      {"crash_series", run_crash_series},
   };
   const auto found = argc == 3 ? k_cases.find(argv[1]) : k_cases.end();
   if (found == k_cases.end()) {
