Order no second run of a task while an unanswered start may be carried out

A worker left the starts of runs 1 and 2 unanswered, the task ran as run 3 elsewhere, and the worker, cut off and restarted under its id, carried out both late starts.

Cause: a task left the worker after two unanswered runs, or after 2 s, though its starts may be carried out for 20 s, also by the next incarnation, which knows of no stop and can't be reached behind a cut. The second run number on the same worker is already the fault: both orders are carried out there.

Change: an unanswered start is sent again under its run number while the worker answers polls, and until it can't take effect any more no other run of the task is ordered. Its run outlasts the lease of a silent worker. The wait ends with the worker's registration, another worker at its address, or an answer of its next incarnation to a higher token. Lasting tasks that have lost their run and tasks of draining workers wait for 2 s as before. Starts with tickets end with the incarnation and don't count.

Tests that demanded that a task leaves a ready worker within 5 s while its start may be carried out demanded the fault; they now demand that it leaves once that can't happen any more, one of them also that it doesn't before.

The cases of sched_waiting_test pass, in one run.

--- a/include/arbutusdale/sched/placement.hpp
+++ b/include/arbutusdale/sched/placement.hpp
@@ -46,7 +46,7 @@
 /// Why a worker does not run a task now.
 enum class Exclusion : std::uint8_t {
   none,
-  late_start,           ///< the task waits for the worker that left its last start unanswered
+  late_start,           ///< an unanswered start of the task may still be carried out
   service,              ///< the worker belongs to another service
   not_ready,            ///< it is draining or not registered
   unreachable,          ///< it has not answered lately, or the stored roster does not name it
@@ -75,11 +75,9 @@
 /// True when an opportunistic image may run beside the worker's serving tasks.
 bool accepts_image(const PlacementView& view, const Worker& worker, ImageId image);
 
-/// True when the task starts only on the worker that left its last start unanswered: what is
-/// ordered there supersedes the late start, whereas a run elsewhere would be doubled by it after a
-/// restart of the worker. Ends when the task has waited for the worker for a while, when the worker
-/// has left or been silent for the longest lease, or, while it is ready, when it has left two runs
-/// unanswered.
+/// True when an unanswered start of the task may still be carried out, which would double any other
+/// run of it after a restart of the worker. A lasting task, and one whose worker drains, waits for
+/// a while only. A lasting one may start on that worker; any other one starts nowhere.
 bool awaits_late_start(const PlacementView& view, const Task& task);
 
 /// True when the worker has the capacity for the task and meets its constraints. Ignores tickets.
--- a/include/arbutusdale/sched/scheduler.hpp
+++ b/include/arbutusdale/sched/scheduler.hpp
@@ -283,9 +283,6 @@
                        const tl::expected<OrderReply, OrderError>& reply);
   void on_start_reply(const jobs::TaskId& id, std::uint32_t number, const SentStart& sent,
                       const tl::expected<OrderReply, OrderError>& reply);
-  void note_late_start(const jobs::TaskId& id, std::uint32_t number, WorkerSlot worker,
-                       TimePoint sent);
-  void note_duplicate_start(const jobs::TaskId& id, std::uint32_t number);
   void on_start_error(Task& task, Run& run, const SentStart& sent, const OrderError& error);
   void stop_run(Task& task, Run& run, const char* reason);
   void send_stop(Task& task, Run& run);
@@ -294,6 +291,18 @@
                      const tl::expected<OrderReply, OrderError>& reply);
   void stop_unwanted_run(Worker& worker, const jobs::TaskId& id, std::uint32_t number);
 
+  // Starts without an answer, scheduler_late_starts.cpp.
+  void note_late_start(const jobs::TaskId& id, std::uint32_t number, const SentStart& sent);
+  /// True when an unanswered start of the task may be carried out beside another run of it.
+  [[nodiscard]] bool may_be_doubled(const Task& task) const;
+  [[nodiscard]] bool may_retry_start(const Task& task, const Run& run) const;
+  void await_retry_of_start(Task& task, Run& run, OrderFailure reason);
+  void retry_unanswered_starts(Worker& worker);
+  /// Runs of the worker but those that a late start may still begin, or begin again.
+  [[nodiscard]] std::vector<RunRef> runs_without_late_start(const Worker& worker) const;
+  void stop_late_starts(Worker& worker);
+  void await_stop_of_late_start(Task& task, Worker& worker, std::uint32_t number);
+
   // Throttling of opportunistic runs, scheduler_throttling.cpp.
   void control_throttling(Worker& worker);
   void send_throttles(Worker& worker);
@@ -324,8 +333,6 @@
   bool note_incarnation(Worker& worker, std::uint64_t incarnation);
   void begin_incarnation(Worker& worker);
   void resolve_run_after_restart(Worker& worker, const RunRef& ref);
-  void stop_late_starts(Worker& worker);
-  void await_stop_of_late_start(Task& task, Worker& worker, std::uint32_t number);
   [[nodiscard]] std::uint64_t fencing_token(const Worker& worker) const {
     return worker.fence.token(m_options.fencing_token);
   }
--- a/include/arbutusdale/sched/task_table.hpp
+++ b/include/arbutusdale/sched/task_table.hpp
@@ -49,11 +49,11 @@
   std::uint32_t number = 0;
   WorkerSlot worker = 0;
   RunPhase phase = RunPhase::starting;
-  bool sent = false;             // its start has been sent
-  bool start_in_flight = false;  // it has no answer yet
-  bool resent = false;           // its start was unanswered and has been sent again
-  bool listed = false;           // a poll reply has listed it, so it has begun on its worker
-  bool stop_confirmed = false;   // the worker has answered the stop
+  bool sent = false;              // its start has been sent
+  bool start_in_flight = false;   // it has no answer yet
+  std::uint32_t starts_sent = 0;  // more than one: the first ones had no answer
+  bool listed = false;            // a poll reply has listed it, so it has begun on its worker
+  bool stop_confirmed = false;    // the worker has answered the stop
   bool stop_in_flight = false;
   bool settled = false;  // a serving run: the next record no longer names it as unsettled
   Isolation isolation = Isolation::none;
@@ -73,6 +73,7 @@
   std::uint64_t tail_ms_or_cpu_millis = 0;  // see RunningTask
   TimePoint over_target_since{};            // zero while its tail is below the target
 
+  [[nodiscard]] bool is_resent() const { return starts_sent > 1; }
   /// How long it has been paused so far, by the orders sent.
   [[nodiscard]] Duration paused_for(TimePoint now) const {
     return paused + (paused_since == TimePoint{} ? Duration::zero() : now - paused_since);
@@ -112,6 +113,7 @@
   not_before,              ///< its next start is put off
   round_limit,             ///< the round has examined as many suspects as it may
   isolation_limit,         ///< too many workers have a suspect, or are silent under one
+  late_start,              ///< an unanswered start of it may still be carried out
   no_worker,               ///< no worker was found for it
   leadership_unconfirmed,  ///< the store has not confirmed lately that this daemon leads
   jobs_outdated,           ///< cancellations of some time ago may not be known yet
@@ -124,10 +126,11 @@
 /// out, a restart of the worker under its id can start the task there again.
 struct LateStart {
   WorkerSlot worker = 0;
-  std::uint32_t run = 0;              // the last one that it left unanswered
-  std::uint32_t unanswered_runs = 0;  // in a row on this worker; zero: no start is late
-  TimePoint sent_at{};
+  std::uint32_t run = 0;      // the last one that it left unanswered
+  TimePoint sent_at{};        // the last order without an answer; zero: no start is late
   TimePoint awaited_since{};  // when the task first waited for the worker; zero before
+
+  [[nodiscard]] bool is_set() const { return sent_at != TimePoint{}; }
 };
 
 /// One task of a step, with its runs.
--- a/include/arbutusdale/sched/worker_table.hpp
+++ b/include/arbutusdale/sched/worker_table.hpp
@@ -69,6 +69,9 @@
   bool in_earlier_roster = false;           // an earlier leader's roster names it
   TimePoint may_exit_at{};                  // while draining: earliest time at which it exits
   std::uint64_t announced_incarnation = 0;  // newest one in a registration; not confirmed
+  TimePoint incarnation_seen_at{};          // when the leader learnt of this incarnation
+  /// This incarnation has seen a higher token than that of any order sent until then.
+  TimePoint refuses_orders_until{};
   WorkerLease lease;
   WorkerFence fence;
   bool has_answered = false;       // this incarnation has answered a poll of this leader
@@ -152,6 +155,10 @@
   /// True when an unanswered start of any run of the task may still be carried out.
   [[nodiscard]] bool may_still_start(const jobs::TaskId& task, TimePoint now) const;
 
+  /// True when a start that was sent at `sent_at` and has no answer may still be carried out: by
+  /// this incarnation or, if the worker restarts, by the next one.
+  [[nodiscard]] bool may_carry_out_start_of(TimePoint sent_at, TimePoint now) const;
+
   void note_start_sent(TimePoint now);
   /// True when ends whose effects are stored are not acknowledged, so that the worker lists them
   /// in each answer.
--- a/src/arbutusdale/sched/held_ends_test.cpp
+++ b/src/arbutusdale/sched/held_ends_test.cpp
@@ -69,6 +69,7 @@
   f.submit(1);
   f.timer.advance(1s);
   f.set_other(WorkerState::ready);
+  f.set_state("w00", WorkerState::draining);  // the task does not wait for it for long
   f.timer.advance(6s);
   cr_assert(f.leader.state(1) == jobs::JobState::COMPLETED);
   cr_assert_eq(f.fleet.at("w01").ended.size(), 1U);
--- a/src/arbutusdale/sched/placement.cpp
+++ b/src/arbutusdale/sched/placement.cpp
@@ -23,9 +23,8 @@
 // Share of its estimate that a task waits for its rack before it runs elsewhere, more slowly.
 constexpr double k_rack_wait_share = 0.5;
 
-// Waiting for one worker stays well below the time after which a job counts as stuck.
-constexpr Duration k_late_start_wait = std::chrono::seconds{2};
-constexpr std::uint32_t k_max_unanswered_runs = 2;
+// Below the time after which a lasting task counts as lost, and that which a worker takes to leave.
+constexpr Duration k_short_late_start_wait = std::chrono::seconds{2};
 constexpr Duration k_quarantine_wait = std::chrono::milliseconds{1'500};
 
 bool is_rack_acceptable(const Worker& worker, const Task& task, TimePoint now) {
@@ -164,7 +163,8 @@
 /// Why the worker can't host the task, tickets aside.
 Exclusion host_exclusion(const PlacementView& view, const Worker& worker, const Task& task) {
   const Step& step = *task.step;
-  if (worker.slot != task.late_start.worker && awaits_late_start(view, task)) {
+  const bool may_supersede = step.spec->long_running() && worker.slot == task.late_start.worker;
+  if (!may_supersede && awaits_late_start(view, task)) {
     return Exclusion::late_start;
   }
   const Exclusion by_worker = worker_exclusion(worker, step.job->terms().service(), view.now);
@@ -242,8 +242,7 @@
   if (std::find(failed_on.begin(), failed_on.end(), worker.slot) != failed_on.end()) {
     cost += k_failed_task_penalty;
   }
-  const LateStart& late = task.late_start;
-  if (late.worker == worker.slot && late.unanswered_runs >= k_max_unanswered_runs) {
+  if (task.late_start.is_set() && task.late_start.worker == worker.slot) {
     cost += k_failed_task_penalty;
   }
   if (view.now < worker.slow_until) {
@@ -269,20 +268,17 @@
 
 bool awaits_late_start(const PlacementView& view, const Task& task) {
   const LateStart& late = task.late_start;
-  if (late.unanswered_runs == 0 || view.now - late.sent_at > k_late_order_bound) {
+  // Copies of a speculative task may run side by side.
+  if (!late.is_set() || task.step->spec->speculative()) {
     return false;
   }
   const Worker& worker = view.workers.at(late.worker);
-  if (!worker.registered || worker.has_ended || view.now - worker.last_answer > k_max_lease) {
-    return false;
-  }
-  if (view.now - late.awaited_since > k_late_start_wait) {
+  if (!worker.may_carry_out_start_of(late.sent_at, view.now)) {
     return false;
   }
-  if (worker.entry.state == WorkerState::draining) {
-    return true;
-  }
-  return late.unanswered_runs < k_max_unanswered_runs;
+  const bool waits_briefly =
+      task.step->spec->long_running() || worker.entry.state == WorkerState::draining;
+  return !waits_briefly || view.now - late.awaited_since <= k_short_late_start_wait;
 }
 
 bool may_use_quarantined(const PlacementView& view, const Task& task) {
--- a/src/arbutusdale/sched/scheduler_orders.cpp
+++ b/src/arbutusdale/sched/scheduler_orders.cpp
@@ -124,6 +124,7 @@
     poll_when_settled(m_workers.at(run.worker), task, run);
   }
   run.start_in_flight = true;
+  ++run.starts_sent;
   const Job& job = *task.step->job;
   Worker& worker = m_workers.at(run.worker);
   StartOrder order;
@@ -169,22 +170,7 @@
   }
   if (is_lost) {
     worker.note_unanswered_start(id, number, sent.sent_at);
-    note_late_start(id, number, sent.worker, sent.sent_at);
-    note_duplicate_start(id, number);
-  }
-}
-
-// The start is sent again at once, so the time is counted from now.
-void Scheduler::note_duplicate_start(const jobs::TaskId& id, std::uint32_t number) {
-  Job* job = m_tasks.find(id.job);
-  Task* task = job == nullptr ? nullptr : job->find_task(id);
-  if (task == nullptr) {
-    return;
-  }
-  const Run* run = task->find_run(number);
-  const bool is_carried_out = run != nullptr && run->listed && !run->resent;
-  if (!is_carried_out) {
-    task->duplicate_start_until = m_timer.now() + k_late_order_bound;
+    note_late_start(id, number, sent);
   }
 }
 
@@ -198,12 +184,11 @@
   }
   run->start_in_flight = false;
   Worker& worker = m_workers.at(run->worker);
-  const bool again = !reply && reply.error().reason == OrderFailure::unknown && !run->resent &&
+  const bool again = !reply && reply.error().reason == OrderFailure::unknown && !run->is_resent() &&
                      run->phase == RunPhase::starting && may_start() &&
                      fits(worker.committed, worker.entry.capacity);
   if (again) {
     // The order is idempotent, since it has the same run number.
-    run->resent = true;
     send_start(*task, *run);
     return;
   }
@@ -229,24 +214,6 @@
   }
 }
 
-// A later run of the task may have been started in the meantime; its worker counts then.
-void Scheduler::note_late_start(const jobs::TaskId& id, std::uint32_t number, WorkerSlot worker,
-                                TimePoint sent) {
-  Job* job = m_tasks.find(id.job);
-  Task* task = job == nullptr ? nullptr : job->find_task(id);
-  if (task == nullptr || number < task->last_run) {
-    return;
-  }
-  LateStart& late = task->late_start;
-  const bool same_worker = late.unanswered_runs > 0 && late.worker == worker;
-  const bool same_run = same_worker && late.run == number;
-  const std::uint32_t earlier = same_worker ? late.unanswered_runs : 0;
-  // A run elsewhere may have left its start unanswered in between; the task waits for this one
-  // anew.
-  const TimePoint awaited_since = same_worker ? late.awaited_since : TimePoint{};
-  late = LateStart{worker, number, same_run ? earlier : earlier + 1, sent, awaited_since};
-}
-
 void Scheduler::on_start_error(Task& task, Run& run, const SentStart& sent,
                                const OrderError& error) {
   Worker& worker = m_workers.at(run.worker);
@@ -256,7 +223,7 @@
   }
   // The answer to a repeated start proves nothing about the first one, which may have been carried
   // out or may still be.
-  const bool unknown = error.reason == OrderFailure::unknown || run.resent;
+  const bool unknown = error.reason == OrderFailure::unknown || run.is_resent();
   EventLine(unknown ? Event::run_unanswered : Event::run_refused)
       .add("job", task.step->job->id.view())
       .add("step", task.step->index)
@@ -269,7 +236,7 @@
       .write();
   if (unknown) {
     worker.needs_poll = true;
-    stop_run(task, run, "its start was not answered");
+    await_retry_of_start(task, run, error.reason);
     return;
   }
   switch (error.reason) {
--- a/src/arbutusdale/sched/scheduler_placement.cpp
+++ b/src/arbutusdale/sched/scheduler_placement.cpp
@@ -177,6 +177,10 @@
     task.delay = StartDelay::not_before;
     return Visit::next_task;
   }
+  if (!step.spec->long_running() && awaits_late_start(placement_view(), task)) {
+    task.delay = StartDelay::late_start;
+    return step.spec->gang() ? Visit::next_step : Visit::next_task;
+  }
   if (task.crashes.is_suspect() && !step.spec->gang()) {
     return visit_suspect(task, round);
   }
--- a/src/arbutusdale/sched/scheduler_polling.cpp
+++ b/src/arbutusdale/sched/scheduler_polling.cpp
@@ -156,6 +156,9 @@
   // Orders to the earlier incarnation may still change what this one lists, until it has seen a
   // later token, with the next poll.
   worker.has_answered = !has_restarted;
+  if (worker.has_answered) {
+    worker.refuses_orders_until = worker.incarnation_seen_at;
+  }
   m_roster_check_due = m_roster_check_due || first;
   worker.unanswered_polls = 0;
   worker.needs_poll = false;
@@ -176,6 +179,7 @@
   update_runs(worker, *reply);
   drop_missing_runs(worker, *reply, context);
   forget_lost_runs(worker);
+  retry_unanswered_starts(worker);
   control_throttling(worker);
   move_stragglers(worker);
   schedule_poll(worker, first ? Duration::zero() : poll_pause(worker, now));
@@ -263,6 +267,7 @@
 // restarted: a registration may be another writer's, and its runs would be started twice.
 void Scheduler::begin_incarnation(Worker& worker) {
   worker.fence.raise();
+  worker.incarnation_seen_at = m_timer.now();
   EventLine(Event::worker_changed)
       .add("worker", worker.entry.id)
       .add("incarnation", worker.entry.incarnation)
@@ -312,43 +317,6 @@
   restart_stop(task, *run, k_reason);
 }
 
-// The new incarnation does not know which runs the earlier one was told to stop.
-void Scheduler::stop_late_starts(Worker& worker) {
-  std::vector<UnansweredStart> starts = worker.unanswered;
-  // The stop of the highest run of a task also blocks the lower ones.
-  std::sort(starts.begin(), starts.end(),
-            [](const UnansweredStart& a, const UnansweredStart& b) { return a.run > b.run; });
-  for (const UnansweredStart& start : starts) {
-    const bool is_known =
-        std::any_of(worker.runs.begin(), worker.runs.end(), [&start](const RunRef& ref) {
-          return ref.number >= start.run && ref.task->step->job->task_id(*ref.task) == start.task;
-        });
-    if (is_known || m_timer.now() - start.sent_at > k_late_order_bound) {
-      continue;
-    }
-    Task* task = find_reported_task(start.task);
-    if (task != nullptr && task->phase == TaskPhase::waiting) {
-      await_stop_of_late_start(*task, worker, start.run);
-      continue;
-    }
-    stop_unwanted_run(worker, start.task, start.run);
-  }
-}
-
-// The task waits until the new incarnation has confirmed that it will not carry out the start.
-void Scheduler::await_stop_of_late_start(Task& task, Worker& worker, std::uint32_t number) {
-  m_ready.remove(task);
-  task.phase = TaskPhase::active;
-  task.last_run = std::max(task.last_run, number);
-  Run run;
-  run.number = number;
-  run.worker = worker.slot;
-  run.progressed_at = m_timer.now();
-  task.runs.push_back(run);
-  worker.add_run(task, number);
-  stop_run(task, task.runs.back(), "its worker has restarted");
-}
-
 TimePoint Scheduler::leases_expire_at(const Worker& worker) const {
   if (!worker.lease.knows_clock()) {
     return worker.last_answer + k_late_order_bound;
@@ -370,13 +338,17 @@
   if (now <= leases_expire_at(worker)) {
     return;
   }
+  const std::vector<RunRef> expired = runs_without_late_start(worker);
+  if (expired.empty()) {
+    return;
+  }
   EventLine(Event::worker_lost)
       .add("worker", worker.entry.id)
       .add("reason", "its leases have expired")
-      .add("runs", worker.runs.size())
+      .add("runs", expired.size())
       .add_ms("silent_ms", now - worker.last_answer)
       .write();
-  for (const RunRef& ref : std::vector<RunRef>(worker.runs)) {
+  for (const RunRef& ref : expired) {
     remember_lost_run(worker, ref);
     presume_ended(worker, ref, "its leases have expired");
   }
--- a/src/arbutusdale/sched/scheduler_runs.cpp
+++ b/src/arbutusdale/sched/scheduler_runs.cpp
@@ -66,6 +66,10 @@
   }
   task->last_run = std::max(task->last_run, end.run);
   task->note_checkpoint(end.checkpoint, m_timer.now());
+  const LateStart& late = task->late_start;
+  if (late.worker == worker.slot && late.run <= end.run) {
+    task->late_start = LateStart{};  // it was carried out
+  }
   if (end.outcome == RunOutcome::done || end.outcome == RunOutcome::failed) {
     hold_end(worker, end, *task);
   }
@@ -265,7 +269,7 @@
                             !step.spec->long_running() && !step.spec->gang() &&
                             run->throttle_percent == k_full_speed_percent &&
                             now - run->throttled_at > k_throttle_settle_time;
-    if (!comparable || task.moves >= k_max_moves) {
+    if (!comparable || task.moves >= k_max_moves || may_be_doubled(task)) {
       continue;
     }
     const RunProgress progress{now - run->order_sent_at, now - run->progressed_at,
@@ -285,8 +289,6 @@
     }
     ++task.moves;
     task.failed_on.push_back(worker.slot);
-    task.late_start =
-        LateStart{};  // a later run has begun here; its stop supersedes the late start
     worker.slow_until = now + k_slow_penalty_time;
     stop_run(task, *run, slow ? "it is slower than expected" : "it makes no progress");
   }
--- a/src/arbutusdale/sched/scheduler_waiting.cpp
+++ b/src/arbutusdale/sched/scheduler_waiting.cpp
@@ -45,7 +45,7 @@
     {Exclusion::ticket, "ticket"},
 }};
 
-constexpr EnumNames<StartDelay, 11> k_delay_names{{
+constexpr EnumNames<StartDelay, 12> k_delay_names{{
     {StartDelay::none, "not_examined"},
     {StartDelay::start_window, "start_window"},
     {StartDelay::earlier_leader, "earlier_leader"},
@@ -54,6 +54,7 @@
     {StartDelay::not_before, "not_before"},
     {StartDelay::round_limit, "round_limit"},
     {StartDelay::isolation_limit, "isolation_limit"},
+    {StartDelay::late_start, "late_start"},
     {StartDelay::no_worker, "no_worker"},
     {StartDelay::leadership_unconfirmed, "leadership_unconfirmed"},
     {StartDelay::jobs_outdated, "jobs_outdated"},
--- a/src/arbutusdale/sched/takeover_fence.cpp
+++ b/src/arbutusdale/sched/takeover_fence.cpp
@@ -219,7 +219,7 @@
     }
   }
   // After another restart the worker no longer knows that it was told to stop this run.
-  if (task.late_start.unanswered_runs > 0) {
+  if (task.late_start.is_set()) {
     add_location(task, workers.at(task.late_start.worker), entry);
   }
 }
--- a/src/arbutusdale/sched/worker_table.cpp
+++ b/src/arbutusdale/sched/worker_table.cpp
@@ -130,6 +130,12 @@
   });
 }
 
+// A worker without a registration has left, or has been silent for so long that it counts as gone.
+bool Worker::may_carry_out_start_of(TimePoint sent_at, TimePoint now) const {
+  return registered && !has_ended && sent_at > refuses_orders_until &&
+         now - sent_at <= k_late_order_bound;
+}
+
 void Worker::note_start_sent(TimePoint now) {
   if (starts_in_flight++ == 0) {
     start_awaited_since = now;
