Start tasks only by the registration of the incarnation that answers

Cause: the reply to a poll names the new incarnation up to 200 ms before its registration is read. The runs of the earlier one end at once, and the waiting tasks were placed by its labels, service and capacity.

Change: a worker gets starts only while its registration names the incarnation that answers polls. That holds for placement, for starts that were stored before they are sent and for starts that are sent again. A registration without a birth is not compared; one that never comes expires.

Workers of the fake fleet now register after a restart. One test of returned workers sent its start between the registration and the first answer; it sends it just before the registration is read now and checks the same.

--- a/include/arbutusdale/sched/placement.hpp
+++ b/include/arbutusdale/sched/placement.hpp
@@ -49,6 +49,7 @@
   late_start,           ///< an unanswered start of the task may still be carried out
   service,              ///< the worker belongs to another service
   not_ready,            ///< it is draining or not registered
+  other_incarnation,    ///< its registration describes another incarnation than the present one
   unreachable,          ///< it has not answered lately, or the stored roster does not name it
   quarantined,          ///< runs have failed there in a row
   refused,              ///< it has just refused a start
--- a/include/arbutusdale/sched/worker_table.hpp
+++ b/include/arbutusdale/sched/worker_table.hpp
@@ -127,6 +127,11 @@
   [[nodiscard]] WorkerEndpoint endpoint() const {
     return {entry.id, entry.address, entry.incarnation};
   }
+  /// True when the registration describes the incarnation that answers. Another one may have other
+  /// labels, another service and another capacity. Births that are not given are not compared.
+  [[nodiscard]] bool is_registration_current() const {
+    return announced_incarnation == 0 || announced_incarnation == entry.incarnation;
+  }
   /// True when the worker may be sent starts: it answered a poll recently, also after any start
   /// without an answer, and the stored roster names it.
   [[nodiscard]] bool is_reachable(TimePoint now) const;
--- a/src/arbutusdale/sched/fake_fleet_test.hpp
+++ b/src/arbutusdale/sched/fake_fleet_test.hpp
@@ -46,6 +46,8 @@
   std::function<void(const FakeWorker&)> on_crash_by_task = [](const FakeWorker&) {};
   TaskDelay crash_delay = default_crash_delay;
   Duration return_delay = std::chrono::milliseconds{3'200};
+  /// From the start of a process under an earlier id until leaders have read its registration.
+  Duration registration_time = std::chrono::milliseconds{100};
   Return return_mode = Return::under_new_id;
   /// Learn of returned workers, and of crashed ones whose registrations have expired.
   std::set<WorkerListener*> listeners;
@@ -173,7 +175,7 @@
     return found == m_workers.end() ? id : found->second->entry.address;
   }
 
-  /// Restarts the worker under the same id; all its runs are lost.
+  /// Restarts the worker under the same id; all its runs are lost. It registers with its start.
   void restart(const std::string& id, std::uint64_t first_clock_ms = 0) {
     FakeWorker& worker = at(id);
     lose_runs(worker);
@@ -188,6 +190,14 @@
     worker.started_at = m_timer.now();
     worker.first_clock_ms = first_clock_ms;
     ++worker.entry.incarnation;
+    m_timer.call_after(registration_time, [this, id, incarnation = worker.entry.incarnation] {
+      const auto found = m_workers.find(id);
+      const bool is_same =
+          found != m_workers.end() && found->second->entry.incarnation == incarnation;
+      if (is_same && !found->second->crashed) {
+        announce(*found->second);
+      }
+    });
   }
 
   void poll(const WorkerEndpoint& to, const PollOrder& order, PollDone done) override {
--- a/src/arbutusdale/sched/placement.cpp
+++ b/src/arbutusdale/sched/placement.cpp
@@ -145,6 +145,9 @@
   if (!worker.registered || worker.entry.state != WorkerState::ready) {
     return Exclusion::not_ready;
   }
+  if (!worker.is_registration_current()) {
+    return Exclusion::other_incarnation;
+  }
   if (worker.has_unwanted_runs) {
     return Exclusion::unwanted_run;
   }
--- a/src/arbutusdale/sched/returned_workers_test.cpp
+++ b/src/arbutusdale/sched/returned_workers_test.cpp
@@ -127,11 +127,11 @@
   cr_assert(!f.orders.awaits_poll_to_delay());
   f.fleet.restart("w00");
   f.orders.set_cut("w00", Cut::answers);
-  f.leader.scheduler->on_worker_updated(f.worker.entry);
-  f.submit(2);
-  f.timer.advance(100ms);
+  f.submit(2);  // no start is sent between the registration and the first answer
+  f.timer.advance(50ms);
   cr_assert_eq(f.worker.runs.size(), 1U);
-  f.timer.advance(2'500ms);  // the run ends, and the late poll arrives
+  f.leader.scheduler->on_worker_updated(f.worker.entry);
+  f.timer.advance(2'550ms);  // the run ends, and the late poll arrives
   f.orders.set_cut("w00", Cut::none);
   f.timer.advance(20s);
   cr_expect_eq(f.fleet.started_after_done, 0U, "%lu starts after a success",
--- a/src/arbutusdale/sched/scheduler_late_starts.cpp
+++ b/src/arbutusdale/sched/scheduler_late_starts.cpp
@@ -118,7 +118,8 @@
       continue;
     }
     const std::size_t limit = worker.max_starts_in_flight(m_start_window.max_per_worker());
-    const bool may_send = may_start() && fits(worker.committed, worker.entry.capacity) &&
+    const bool may_send = may_start() && worker.is_registration_current() &&
+                          fits(worker.committed, worker.entry.capacity) &&
                           worker.starts_in_flight < limit && !is_start_window_full();
     if (!may_send) {
       continue;
--- a/src/arbutusdale/sched/scheduler_orders.cpp
+++ b/src/arbutusdale/sched/scheduler_orders.cpp
@@ -110,7 +110,8 @@
     }
     const Worker& worker = m_workers.at(run->worker);
     const bool takes_start = worker.registered && worker.entry.state == WorkerState::ready &&
-                             !worker.has_ended && fits(worker.committed, worker.entry.capacity);
+                             worker.is_registration_current() && !worker.has_ended &&
+                             fits(worker.committed, worker.entry.capacity);
     if (!may_start() || !takes_start) {
       drop_run(*task, start.run);
       continue;
@@ -186,6 +187,7 @@
   Worker& worker = m_workers.at(run->worker);
   const bool again = !reply && reply.error().reason == OrderFailure::unknown && !run->is_resent() &&
                      run->phase == RunPhase::starting && may_start() &&
+                     worker.is_registration_current() &&
                      fits(worker.committed, worker.entry.capacity);
   if (again) {
     // The order is idempotent, since it has the same run number.
--- a/src/arbutusdale/sched/scheduler_waiting.cpp
+++ b/src/arbutusdale/sched/scheduler_waiting.cpp
@@ -24,11 +24,12 @@
 // After a takeover, tasks that run count as waiting until their workers have answered.
 constexpr Duration k_adoption_time = std::chrono::milliseconds{500};
 
-constexpr EnumNames<Exclusion, 18> k_exclusion_names{{
+constexpr EnumNames<Exclusion, 19> k_exclusion_names{{
     {Exclusion::none, "none"},
     {Exclusion::late_start, "late_start"},
     {Exclusion::service, "service"},
     {Exclusion::not_ready, "not_ready"},
+    {Exclusion::other_incarnation, "other_incarnation"},
     {Exclusion::unreachable, "unreachable"},
     {Exclusion::quarantined, "quarantined"},
     {Exclusion::refused, "refused"},
