Move the tests of held-back tasks to those of late starts

Change: the fixture and the two tests of tasks that a worker holds back go to late_start_test.cpp, unchanged.

--- a/src/arbutusdale/sched/late_start_test.cpp
+++ b/src/arbutusdale/sched/late_start_test.cpp
@@ -1,5 +1,5 @@
-// Starts without an answer that are carried out late, by the next incarnation of a worker that has
-// restarted behind a cut.
+// Tasks whose starts have no answer: what else may be ordered while these may be carried out late,
+// also by the next incarnation of a worker that has restarted behind a cut.
 #include <chrono>
 
 #include "returned_workers_fixture_test.hpp"
@@ -52,6 +52,37 @@
   }
 };
 
+/// A task whose start w00 has left unanswered. From then on w01 to w15 are ready and free.
+struct HeldBackFixture : FleetFixture {
+  LeaderFixture leader;
+  FakeWorker& worker = fleet.at("w00");
+
+  HeldBackFixture() : FleetFixture(16), leader(timer, fleet, log) {
+    fleet.work_of = [](const jobs::TaskId&) { return 600s; };
+    timer.advance(1s);
+    set_others(WorkerState::draining);
+    worker.start_delay = 30s;
+    JobBuilder job(1);
+    job.step(1, 2'000);
+    leader.submit(job);
+    timer.advance(500ms);
+    worker.start_delay = 0s;
+    set_others(WorkerState::ready);
+  }
+  void set_state(const std::string& id, WorkerState state) {
+    WorkerEntry entry = fleet.at(id).entry;
+    entry.state = state;
+    leader.scheduler->on_worker_updated(entry);
+  }
+  void set_others(WorkerState state) {
+    for (const auto& [id, other] : fleet.all()) {
+      if (id != "w00") {
+        set_state(id, state);
+      }
+    }
+  }
+};
+
 }  // namespace
 
 // Guards against a second run of a task that went elsewhere after two unanswered starts: these are
@@ -146,3 +177,21 @@
   cr_expect_eq(f.worker.runs.size(), 0U);
   cr_expect_eq(f.fleet.at("w01").runs.size(), 1U);
 }
+
+// Guards against a task that waits for a worker that refuses its starts again and again: each
+// refusal begins the wait anew. It leaves once its unanswered start can no longer be carried out.
+Test(held_back, a_task_leaves_a_worker_that_refuses_its_starts) {
+  HeldBackFixture fixture;
+  fixture.worker.guards_capacity = true;
+  fixture.fleet.set_capacity("w00", {0, 0, 0});  // the leader does not know of it yet
+  fixture.timer.advance(k_late_order_bound + 1s);
+  cr_assert_eq(fixture.fleet.running(), 1U);
+}
+
+// Guards against a task that waits until a draining worker exits, which may take many seconds.
+Test(held_back, a_task_leaves_a_worker_that_drains_for_long) {
+  HeldBackFixture fixture;
+  fixture.set_state("w00", WorkerState::draining);
+  fixture.timer.advance(5s);
+  cr_assert_eq(fixture.fleet.running(), 1U);
+}
--- a/src/arbutusdale/sched/restarted_worker_test.cpp
+++ b/src/arbutusdale/sched/restarted_worker_test.cpp
@@ -32,37 +32,6 @@
   }
 };
 
-/// A task whose start w00 has left unanswered. From then on w01 to w15 are ready and free.
-struct HeldBackFixture : FleetFixture {
-  LeaderFixture leader;
-  FakeWorker& worker = fleet.at("w00");
-
-  HeldBackFixture() : FleetFixture(16), leader(timer, fleet, log) {
-    fleet.work_of = [](const jobs::TaskId&) { return 600s; };
-    timer.advance(1s);
-    set_others(WorkerState::draining);
-    worker.start_delay = 30s;
-    JobBuilder job(1);
-    job.step(1, 2'000);
-    leader.submit(job);
-    timer.advance(500ms);
-    worker.start_delay = 0s;
-    set_others(WorkerState::ready);
-  }
-  void set_state(const std::string& id, WorkerState state) {
-    WorkerEntry entry = fleet.at(id).entry;
-    entry.state = state;
-    leader.scheduler->on_worker_updated(entry);
-  }
-  void set_others(WorkerState state) {
-    for (const auto& [id, other] : fleet.all()) {
-      if (id != "w00") {
-        set_state(id, state);
-      }
-    }
-  }
-};
-
 }  // namespace
 
 // Guards against a second run of a task whose start was sent again and answered: after a restart of
@@ -448,21 +417,3 @@
   f.timer.advance(6s);
   cr_assert_eq(f.fleet.started_after_done, 0U);
 }
-
-// Guards against a task that waits for a worker that refuses its starts again and again: each
-// refusal begins the wait anew. It leaves once its unanswered start can no longer be carried out.
-Test(held_back, a_task_leaves_a_worker_that_refuses_its_starts) {
-  HeldBackFixture fixture;
-  fixture.worker.guards_capacity = true;
-  fixture.fleet.set_capacity("w00", {0, 0, 0});  // the leader does not know of it yet
-  fixture.timer.advance(k_late_order_bound + 1s);
-  cr_assert_eq(fixture.fleet.running(), 1U);
-}
-
-// Guards against a task that waits until a draining worker exits, which may take many seconds.
-Test(held_back, a_task_leaves_a_worker_that_drains_for_long) {
-  HeldBackFixture fixture;
-  fixture.set_state("w00", WorkerState::draining);
-  fixture.timer.advance(5s);
-  cr_assert_eq(fixture.fleet.running(), 1U);
-}
