Check that a refused task stays while its start may be carried out

Change: it also demands that the task runs nowhere while its unanswered start may still be carried out.

--- a/src/arbutusdale/sched/late_start_test.cpp
+++ b/src/arbutusdale/sched/late_start_test.cpp
@@ -179,12 +179,15 @@
 }
 
 // Guards against a task that waits for a worker that refuses its starts again and again: each
-// refusal begins the wait anew. It leaves once its unanswered start can no longer be carried out.
+// refusal begins the wait anew. It leaves once its unanswered start can no longer be carried out,
+// and not before.
 Test(held_back, a_task_leaves_a_worker_that_refuses_its_starts) {
   HeldBackFixture fixture;
   fixture.worker.guards_capacity = true;
   fixture.fleet.set_capacity("w00", {0, 0, 0});  // the leader does not know of it yet
-  fixture.timer.advance(k_late_order_bound + 1s);
+  fixture.timer.advance(k_late_order_bound - 2s);
+  cr_assert_eq(fixture.fleet.running(), 0U);
+  fixture.timer.advance(3s);
   cr_assert_eq(fixture.fleet.running(), 1U);
 }
 
